--- a/src/bin/liftrun-simhost.rs
+++ b/src/bin/mossrill-simhost.rs
@@ -2,9 +2,9 @@
 
 #![forbid(unsafe_code)]
 
-use liftrun::interface::Action;
-use liftrun::wire::{self, Line, Lookup, Names};
-use liftrun::Gateway;
+use mossrill::interface::Action;
+use mossrill::wire::{self, Line, Lookup, Names};
+use mossrill::Gateway;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -90,7 +90,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("liftrun-simhost: {fault}");
+            eprintln!("mossrill-simhost: {fault}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,8 +4,8 @@
 //! time, and carries out the actions that come back.
 //!
 //! ```
-//! use liftrun::interface::*;
-//! use liftrun::Gateway;
+//! use mossrill::interface::*;
+//! use mossrill::Gateway;
 //!
 //! let settings = Settings {
 //!     gateways: 1,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! Short-hand for tests that drive a gateway by hand.
 #![allow(dead_code)]
 
-use liftrun::interface::*;
-use liftrun::Gateway;
+use mossrill::interface::*;
+use mossrill::Gateway;
 
 /// A gateway with its clock and the actions of its last event.
 pub struct Bench {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use liftrun::interface::*;
+use mossrill::interface::*;
 
 /// Takes all servers away, so that requests queue, and the order in which they leave when enough are back.
 fn leave_order(bench: &mut Bench, asked: &[(&str, &str)]) -> Vec<String> {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use liftrun::interface::*;
+use mossrill::interface::*;
 use std::collections::BTreeMap;
 
 struct Try {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use liftrun::interface::*;
-use liftrun::Gateway;
+use mossrill::interface::*;
+use mossrill::Gateway;
 use std::collections::BTreeMap;
 
 const SECOND: Micros = 1_000_000;
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The wire: what is read, what is written, and plain words on bad input.
 
-use liftrun::interface::*;
-use liftrun::wire::{parse, write, Line, Lookup, Names};
+use mossrill::interface::*;
+use mossrill::wire::{parse, write, Line, Lookup, Names};
 use std::io::Write;
 use std::process::{Command, Stdio};
 
@@ -62,7 +62,7 @@
 }
 
 fn host(input: &str) -> (bool, String, String) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_liftrun-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_mossrill-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
