--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,231 @@
+//! The one place where configuration is read, checked and given defaults. Faults name the key.
+
+use crate::interface::{Member, Micros, Readiness, Settings};
+use crate::wire::{self, Names};
+use serde_json::Value;
+use std::net::{SocketAddr, ToSocketAddrs};
+use std::time::Duration;
+
+/// What is wrong, in words that name the key.
+pub type Fault = String;
+
+/// What one limiter is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where agents connect.
+    pub listen: SocketAddr,
+    /// Where the node list is served.
+    pub node_list: SocketAddr,
+    /// Where the quota counter is; none where there is none.
+    pub quota_counter: Option<SocketAddr>,
+    /// For random numbers.
+    pub seed: u64,
+    /// Open files and sockets in all.
+    pub descriptors: usize,
+    /// The node list as last held.
+    pub known: NodeNews,
+    /// What the decision module is told.
+    pub settings: Settings,
+    /// Names of classes and plans.
+    pub names: Names,
+    /// Names of the figures of a load report, in the module's order.
+    pub load_fields: Vec<String>,
+    /// How connections are kept.
+    pub links: Links,
+    /// Requests held open at most.
+    pub max_open: usize,
+}
+
+/// How connections to ticket nodes are kept.
+#[derive(Clone, Copy, Debug)]
+pub struct Links {
+    /// A node closes a connection that was idle for so long.
+    pub idle: Duration,
+    /// A connection that is not up by then has failed.
+    pub connect: Duration,
+}
+
+/// News of the node list.
+#[derive(Debug, Default)]
+pub struct NodeNews {
+    /// The list's version.
+    pub generation: u64,
+    /// The whole list, not changes alone.
+    pub full: bool,
+    /// Entries, each with the node's address.
+    pub nodes: Vec<(Member, SocketAddr)>,
+}
+
+/// Requests held open at most, whatever the settings allow: each may hold a buffer.
+const MOST_OPEN: usize = 1_000;
+
+/// A value of the configuration with its path.
+#[derive(Clone, Copy)]
+pub struct Key<'a> {
+    value: &'a Value,
+    path: &'a str,
+}
+
+impl<'a> Key<'a> {
+    /// A value that was found at `path`.
+    pub fn new(value: &'a Value, path: &'a str) -> Self {
+        Self { value, path }
+    }
+
+    fn bad(&self, key: &str, want: &str) -> Fault {
+        let dot = if self.path.is_empty() { "" } else { "." };
+        match &self.value[key] {
+            Value::Null => format!("key \"{}{dot}{key}\" is missing, wanted {want}", self.path),
+            value => format!("key \"{}{dot}{key}\" is {value}, wanted {want}", self.path),
+        }
+    }
+
+    /// Reads a key that must be there.
+    pub fn must<T>(&self, key: &str, want: &str, read: impl Fn(&'a Value) -> Option<T>) -> Result<T, Fault> {
+        read(&self.value[key]).ok_or_else(|| self.bad(key, want))
+    }
+
+    /// Reads a key that has a default.
+    pub fn or<T>(
+        &self,
+        key: &str,
+        absent: T,
+        want: &str,
+        read: impl Fn(&'a Value) -> Option<T>,
+    ) -> Result<T, Fault> {
+        match &self.value[key] {
+            Value::Null => Ok(absent),
+            value => read(value).ok_or_else(|| self.bad(key, want)),
+        }
+    }
+
+    /// Text that must be there.
+    pub fn text(&self, key: &str) -> Result<&'a str, Fault> {
+        self.must(key, "text", Value::as_str)
+    }
+
+    /// A span of microseconds with a default.
+    fn span(&self, key: &str, absent: Micros) -> Result<Duration, Fault> {
+        self.or(key, absent, "microseconds", Value::as_u64).map(Duration::from_micros)
+    }
+
+    /// An address that must be there.
+    pub fn address(&self, key: &str) -> Result<SocketAddr, Fault> {
+        self.must(key, "host:port", |v| address(v.as_str()?))
+    }
+}
+
+/// Reads `host:port`.
+pub fn address(text: &str) -> Option<SocketAddr> {
+    text.parse().ok().or_else(|| text.to_socket_addrs().ok()?.next())
+}
+
+/// Reads what the platform gives a limiter. `env` looks up the variables that stand in for keys.
+pub fn platform(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
+    let mut value: Value = serde_json::from_str(text).map_err(|e| format!("not JSON: {e}"))?;
+    if !value.is_object() {
+        return Err("not a JSON object".into());
+    }
+    for (key, variable) in [("name", "EDGE_NAME"), ("listen", "EDGE_LISTEN"), ("discovery", "EDGE_DISCOVERY")]
+    {
+        if let (true, Some(text)) = (value[key].is_null(), env(variable)) {
+            value[key] = Value::String(text);
+        }
+    }
+    let root = Key::new(&value, "");
+    let facts = root.must("settings", "an object", |v| v.is_object().then_some(v))?;
+    let settings = wire::settings(facts).map_err(|e| format!("key \"settings\": {e}"))?;
+    check(&settings)?;
+    let part = |key: &str| facts.get(key).unwrap_or(&Value::Null);
+    let limits = Key::new(part("limits"), "settings.limits");
+    let load = Key::new(part("loadInfo"), "settings.loadInfo");
+    let fields = |v: &Value| v.as_array()?.iter().map(|f| f.as_str().map(str::to_owned)).collect();
+    let sockets =
+        Key::new(&value["limits"], "limits").or("sockets", 1_024, "a whole number", Value::as_u64)?;
+    let seed = root.or("seed", 0, "16 hex digits", |v| u64::from_str_radix(v.as_str()?, 16).ok())?;
+    let quota_counter = root.or("counter", None, "host:port", |v| address(v.as_str()?).map(Some))?;
+    if settings.counter && quota_counter.is_none() {
+        return Err("key \"counter\" is missing, wanted host:port".into());
+    }
+    let known = match &value["known"] {
+        Value::Null => NodeNews::default(),
+        known => node_news(known).map_err(|e| format!("key \"known\": {e}"))?,
+    };
+    let max_open = limits.or("maxOpen", MOST_OPEN as u64, "a whole number", Value::as_u64)? as usize;
+    Ok(Config {
+        name: root.text("name")?.to_owned(),
+        listen: root.address("listen")?,
+        node_list: root.address("discovery")?,
+        quota_counter,
+        seed,
+        descriptors: (sockets as usize).min(1_024),
+        known,
+        names: Names::from_settings(facts),
+        load_fields: load.or("fields", Vec::new(), "a list of names", fields)?,
+        links: Links {
+            idle: limits.span("connIdle", 30_000_000)?,
+            connect: limits.span("connectTimeout", 250_000)?,
+        },
+        max_open: max_open.clamp(1, MOST_OPEN),
+        settings,
+    })
+}
+
+/// What the module divides by or indexes with must make sense before it sees it.
+pub fn check(settings: &Settings) -> Result<(), Fault> {
+    if settings.gateways == 0 || settings.me >= settings.gateways {
+        return Err(format!("key \"settings.me\" is {}, of {} limiters", settings.me, settings.gateways));
+    }
+    for (what, empty) in [("classes", settings.classes.is_empty()), ("tariffs", settings.plans.is_empty())] {
+        if empty {
+            return Err(format!("key \"settings.{what}\" is missing or empty, wanted a list"));
+        }
+    }
+    if settings.classes.iter().any(|c| c.deadline == 0 || c.aim == 0) {
+        return Err("key \"settings.classes\": \"slo\" and \"deadline\" must be above 0".into());
+    }
+    let wrong = |v: f64| !v.is_finite() || v < 0.0;
+    if settings.plans.iter().any(|p| wrong(p.rate) || wrong(p.burst) || wrong(p.price)) {
+        return Err("key \"settings.tariffs\": rates and stores must not be negative".into());
+    }
+    Ok(())
+}
+
+/// Reads the node list, or changes of it.
+pub fn node_news(value: &Value) -> Result<NodeNews, Fault> {
+    let key = Key::new(value, "");
+    let entries = key.must("instances", "a list", Value::as_array)?;
+    Ok(NodeNews {
+        generation: key.must("generation", "a whole number", Value::as_u64)?,
+        full: key.or("reset", false, "true or false", Value::as_bool)?,
+        nodes: entries.iter().map(node).collect::<Result<_, _>>()?,
+    })
+}
+
+fn node(value: &Value) -> Result<(Member, SocketAddr), Fault> {
+    let key = Key::new(value, "instances[]");
+    let readiness =
+        key.must("lifecycle", "in_service, terminating or terminated", |v| match v.as_str()? {
+            "in_service" => Some(Readiness::Ready),
+            "terminating" => Some(Readiness::Draining),
+            "terminated" => Some(Readiness::Gone),
+            _ => None,
+        })?;
+    let member = Member {
+        id: key.text("instanceId")?.into(),
+        zone: key.or("zone", "", "text", Value::as_str)?.to_owned(),
+        cell: key.or("cell", 0, "a whole number", Value::as_u64)?,
+        readiness,
+        weight: key.or("weight", 1.0, "a number", Value::as_f64)?,
+        started: key.or("startedAtMs", 0, "a whole number", Value::as_u64)?.saturating_mul(1_000),
+    };
+    // An entry that only says that a node is gone may do without an address.
+    let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
+    let address = match readiness {
+        Readiness::Gone => key.or("hostPort", nowhere, "host:port", |v| address(v.as_str()?))?,
+        _ => key.address("hostPort")?,
+    };
+    Ok((member, address))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,7 @@
-//! The decisions of a gateway that keeps each customer of a shared back end to its plan.
+//! A quota limiter for a fleet of API gateways: keeps each agent account of a shared back end to its plan.
+//!
+//! [`limiter`] is the core, [`net`] what speaks to the platform, [`config`] what a limiter is told. The
+//! decisions are in [`policy`].
 //!
 //! A [`Gateway`] is a state machine without input or output of its own: a host hands it events with the
 //! time, and carries out the actions that come back.
@@ -43,7 +46,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod config;
 pub mod interface;
+pub mod limiter;
+pub mod net;
 pub mod policy;
 mod state;
 pub mod wire;
--- /dev/null
+++ b/src/limiter/mod.rs
@@ -0,0 +1,466 @@
+//! The core: carries out what the decision module wants and tells it what became of it.
+//!
+//! It deals in requests, attempts and outcomes. Whatever speaks to agents, ticket nodes and the quota counter
+//! stands behind [`Edges`] and reaches the core through its queue of [`Input`]s alone; the one thread that
+//! runs [`Core::run`] owns the module.
+
+mod timers;
+
+pub use timers::Clock;
+
+use crate::interface::*;
+use crate::Gateway;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use slog::{info, warn, Logger};
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use timers::Timers;
+
+/// Names an attempt: the number of its request, and its place among that request's attempts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId {
+    /// The request's number.
+    pub request: u64,
+    /// Its place, from 0.
+    pub attempt: usize,
+}
+
+/// The one final answer of a request.
+#[derive(Debug)]
+pub enum Answer<V> {
+    /// Served with a ticket node's value.
+    Served(V),
+    /// Refused: trying again is harmless.
+    Refused {
+        /// When to come back; nothing advised if zero.
+        after: Duration,
+        /// Time ran out on an attempt.
+        late: bool,
+    },
+    /// Failed, promising nothing.
+    Failed {
+        /// Time ran out.
+        late: bool,
+    },
+}
+
+/// What the core wants done outside. No call may block: the core waits for nothing but its queue.
+pub trait Edges {
+    /// Where the answer of a request goes.
+    type Client;
+    /// What is passed on to a ticket node.
+    type Call;
+    /// What a ticket node serves.
+    type Value;
+    /// Gives a request its final answer.
+    fn answer(&mut self, client: Self::Client, answer: Answer<Self::Value>);
+    /// Starts an attempt that is waited for until `ends`.
+    fn start(&mut self, attempt: AttemptId, node: &ServerId, call: &Arc<Self::Call>, ends: Instant);
+    /// Gives an attempt up; whatever it still brings is dropped.
+    fn cancel(&mut self, attempt: AttemptId);
+    /// Asks a ticket node for its load.
+    fn probe(&mut self, node: &ServerId);
+    /// Adds to a count; `call` comes back with the total.
+    fn add(&mut self, call: u64, name: u64, by: f64, ttl: Duration);
+}
+
+/// An agent's request as it reaches the core.
+pub struct Incoming<E: Edges> {
+    /// Its number, never used twice in this process.
+    pub number: u64,
+    /// When its last byte came.
+    pub arrived: Instant,
+    /// How long the agent waits from then on.
+    pub budget: Duration,
+    /// Index of its class.
+    pub class: usize,
+    /// Index of its plan.
+    pub plan: usize,
+    /// The agent account.
+    pub account: CustomerId,
+    /// Units that it takes from the quota.
+    pub units: f64,
+    /// Number of limiters that the account's requests come through.
+    pub spread: u32,
+    /// Number of the first of them.
+    pub first: u32,
+    /// Where the answer goes.
+    pub client: E::Client,
+    /// What is passed on.
+    pub call: E::Call,
+}
+
+/// What reaches the core.
+pub enum Input<E: Edges> {
+    /// News of the node list.
+    Nodes(Scope, Vec<Member>),
+    /// A request has come in whole.
+    Request(Incoming<E>),
+    /// The agent that sent this request has gone away.
+    Left(u64),
+    /// An attempt has ended by itself.
+    Ended {
+        /// Which.
+        attempt: AttemptId,
+        /// How.
+        outcome: Outcome,
+        /// The node's load, if told.
+        load: Vec<f64>,
+        /// The value, with [`Outcome::Ok`].
+        value: Option<E::Value>,
+    },
+    /// A probe has ended.
+    Probed {
+        /// The ticket node.
+        node: ServerId,
+        /// How.
+        outcome: Outcome,
+        /// Time it took.
+        took: Duration,
+        /// The node's load.
+        load: Vec<f64>,
+    },
+    /// A call of the quota counter has ended.
+    Counted {
+        /// The number given to [`Edges::add`].
+        call: u64,
+        /// How.
+        outcome: Outcome,
+        /// The total, with [`Outcome::Ok`].
+        total: f64,
+    },
+    /// Answer what is open and come to an end, by this moment at the latest.
+    Stop(Instant),
+}
+
+/// Why the core woke by itself.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Module(u64),
+    Attempt(AttemptId),
+    Request(u64),
+    Count(u64),
+    Stop,
+}
+
+struct Open<E: Edges> {
+    id: RequestId,
+    client: E::Client,
+    call: Arc<E::Call>,
+    deadline: Micros,
+    attempts: usize,
+    late: bool,
+    may_have_run: bool,
+    safe: bool,
+}
+
+struct Out {
+    node: ServerId,
+    sent: Micros,
+    ends: Micros,
+}
+
+/// The owner of the decision module.
+pub struct Core<E: Edges> {
+    gateway: Gateway,
+    edges: E,
+    clock: Clock,
+    log: Logger,
+    /// By class: a refusal is harmless even after it may have run.
+    safe: Vec<bool>,
+    max_attempts: usize,
+    counter_timeout: Micros,
+    max_open: usize,
+    open: HashMap<u64, Open<E>>,
+    out: HashMap<AttemptId, Out>,
+    counts: HashMap<u64, u64>,
+    count_calls: u64,
+    timers: Timers<Due>,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    ready: Sender<()>,
+    stopping: bool,
+}
+
+impl<E: Edges> Core<E> {
+    /// A core round a new module; `ready` is told once a first node list is known.
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        max_open: usize,
+        edges: E,
+        clock: Clock,
+        ready: Sender<()>,
+        log: Logger,
+    ) -> Self {
+        Self {
+            safe: settings.classes.iter().map(|c| c.effect == Effect::Safe).collect(),
+            max_attempts: settings.limits.max_attempts.max(1) as usize,
+            counter_timeout: settings.counter_timeout.max(1_000),
+            gateway: Gateway::new(settings, seed),
+            edges,
+            clock,
+            log,
+            max_open,
+            open: HashMap::new(),
+            out: HashMap::new(),
+            counts: HashMap::new(),
+            count_calls: 0,
+            timers: Timers::new(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            ready,
+            stopping: false,
+        }
+    }
+
+    /// Runs until it is stopped and everything open is answered.
+    pub fn run(mut self, inputs: Receiver<Input<E>>) {
+        while !(self.stopping && self.open.is_empty()) {
+            let input = match self.timers.next() {
+                Some(at) => inputs.recv_deadline(self.clock.moment(at)),
+                None => inputs.recv().map_err(|_| RecvTimeoutError::Disconnected),
+            };
+            let now = self.clock.now();
+            match input {
+                Ok(input) => self.take(now, input),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            while let Some(due) = self.timers.due(now) {
+                self.fall_due(now, due);
+            }
+        }
+    }
+
+    fn take(&mut self, now: Micros, input: Input<E>) {
+        match input {
+            Input::Nodes(scope, members) => {
+                let known = members.iter().any(|m| m.readiness == Readiness::Ready);
+                self.tell(now, Event::Members { scope, members });
+                if known {
+                    _ = self.ready.try_send(());
+                }
+            }
+            Input::Request(incoming) => self.admit(now, incoming),
+            Input::Left(number) => {
+                if let Some(open) = self.open.remove(&number) {
+                    self.tell(now, Event::Gone { id: open.id });
+                }
+            }
+            Input::Ended { attempt, outcome, load, value } => {
+                if let Some(out) = self.out.remove(&attempt) {
+                    self.ended(now, attempt, out, outcome, load, value);
+                }
+            }
+            Input::Probed { node, outcome, took, load } => {
+                let took = took.as_micros() as Micros;
+                self.tell(now, Event::Probed { server: node, outcome, took, load });
+            }
+            Input::Counted { call, outcome, total } => {
+                if let Some(name) = self.counts.remove(&call) {
+                    self.tell(now, Event::Counted { name, total, outcome });
+                }
+            }
+            Input::Stop(by) => {
+                info!(self.log, "stopping"; "open" => self.open.len());
+                self.stopping = true;
+                self.timers.set(self.clock.at(by), Due::Stop);
+            }
+        }
+    }
+
+    fn admit(&mut self, now: Micros, incoming: Incoming<E>) {
+        let arrived = self.clock.at(incoming.arrived).min(now);
+        let deadline = arrived + incoming.budget.as_micros() as Micros;
+        // Bounds the memory that requests hold. Nothing has run yet, so the refusal is harmless.
+        if self.open.len() >= self.max_open {
+            warn!(self.log, "too many open requests"; "open" => self.open.len());
+            let answer = Answer::Refused { after: Duration::from_millis(500), late: false };
+            return self.edges.answer(incoming.client, answer);
+        }
+        let id = RequestId::from(format!("{:x}", incoming.number).as_str());
+        let request = Request {
+            id: id.clone(),
+            class: incoming.class,
+            plan: incoming.plan,
+            customer: incoming.account,
+            budget: deadline.saturating_sub(now),
+            units: incoming.units,
+            spread: incoming.spread,
+            first: incoming.first,
+        };
+        let open = Open {
+            id,
+            client: incoming.client,
+            call: Arc::new(incoming.call),
+            deadline,
+            attempts: 0,
+            late: false,
+            may_have_run: false,
+            safe: self.safe.get(incoming.class).copied().unwrap_or(false),
+        };
+        self.open.insert(incoming.number, open);
+        self.timers.set(deadline, Due::Request(incoming.number));
+        self.tell(now, Event::Request(request));
+    }
+
+    fn fall_due(&mut self, now: Micros, due: Due) {
+        match due {
+            Due::Module(token) => self.tell(now, Event::Timer { token }),
+            Due::Attempt(attempt) => {
+                if let Some(out) = self.out.remove(&attempt) {
+                    self.edges.cancel(attempt);
+                    if let Some(open) = self.open.get_mut(&attempt.request) {
+                        open.late = true;
+                    }
+                    self.ended(now, attempt, out, Outcome::Timeout, Vec::new(), None);
+                }
+            }
+            Due::Request(number) => self.overdue(now, number),
+            Due::Count(call) => {
+                if let Some(name) = self.counts.remove(&call) {
+                    self.tell(now, Event::Counted { name, total: 0.0, outcome: Outcome::Timeout });
+                }
+            }
+            Due::Stop => {
+                let open: Vec<u64> = self.open.keys().copied().collect();
+                warn!(self.log, "out of time to stop"; "open" => open.len());
+                open.into_iter().for_each(|number| self.overdue(now, number));
+            }
+        }
+    }
+
+    /// Guards against a module that says nothing: the agent gets its answer at its deadline all the same.
+    fn overdue(&mut self, now: Micros, number: u64) {
+        let Some(open) = self.open.remove(&number) else { return };
+        warn!(self.log, "unanswered at its deadline"; "request" => &*open.id.0, "attempts" => open.attempts);
+        self.edges.answer(open.client, Answer::Failed { late: true });
+        self.tell(now, Event::Gone { id: open.id });
+    }
+
+    /// The first good answer goes to the agent at once; the module hears of every end.
+    fn ended(
+        &mut self,
+        now: Micros,
+        attempt: AttemptId,
+        out: Out,
+        outcome: Outcome,
+        load: Vec<f64>,
+        value: Option<E::Value>,
+    ) {
+        let number = attempt.request;
+        if let (Outcome::Ok, Some(value)) = (outcome, value) {
+            if let Some(open) = self.open.remove(&number) {
+                self.edges.answer(open.client, Answer::Served(value));
+            }
+        }
+        let open = self.open.get_mut(&number);
+        let last = open.is_none();
+        if let Some(open) = open {
+            open.may_have_run |= !outcome.never_ran();
+        }
+        let ended = Ended {
+            id: RequestId::from(format!("{number:x}").as_str()),
+            attempt: attempt.attempt,
+            server: out.node,
+            outcome,
+            took: now.saturating_sub(out.sent),
+            last,
+            load,
+            settled: None,
+        };
+        self.tell(now, Event::Outcome(ended));
+    }
+
+    /// Hands an event to the module and carries out its actions, and what follows from these in turn.
+    fn tell(&mut self, now: Micros, event: Event) {
+        self.events.push_back(event);
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.gateway.on_event(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(now, action);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send { id, server, timeout } => self.send(now, id, server, timeout),
+            Action::Cancel { id, attempt } => {
+                let attempt = AttemptId { request: number(&id), attempt };
+                if let Some(out) = self.out.remove(&attempt) {
+                    self.edges.cancel(attempt);
+                    self.events.push_back(Event::Outcome(Ended {
+                        id,
+                        attempt: attempt.attempt,
+                        server: out.node,
+                        outcome: Outcome::Cancelled,
+                        took: now.saturating_sub(out.sent),
+                        last: !self.open.contains_key(&attempt.request),
+                        load: Vec::new(),
+                        settled: None,
+                    }));
+                    if let Some(open) = self.open.get_mut(&attempt.request) {
+                        open.may_have_run = true;
+                        open.late |= now >= out.ends;
+                    }
+                }
+            }
+            Action::Refuse { id, after } => {
+                let Some(open) = self.open.remove(&number(&id)) else { return };
+                let late = open.late;
+                // The rule on refusals binds whoever words them: what may have run is failed, not refused.
+                let answer = if open.safe || !open.may_have_run {
+                    Answer::Refused { after: Duration::from_micros(after), late }
+                } else {
+                    Answer::Failed { late }
+                };
+                self.edges.answer(open.client, answer);
+            }
+            Action::Fail { id } => {
+                let Some(open) = self.open.remove(&number(&id)) else { return };
+                self.edges.answer(open.client, Answer::Failed { late: open.late });
+            }
+            Action::Timer { after, token } => self.timers.set(now + after, Due::Module(token)),
+            Action::Probe { server } => self.edges.probe(&server),
+            Action::Count { name, by, ttl } => {
+                self.count_calls += 1;
+                self.counts.insert(self.count_calls, name);
+                self.timers.set(now + self.counter_timeout, Due::Count(self.count_calls));
+                self.edges.add(self.count_calls, name, by, Duration::from_micros(ttl));
+            }
+            // Limiters share nothing but the quota counter, and the node list is watched from the start.
+            Action::Tell { .. } | Action::Watch => {}
+        }
+    }
+
+    fn send(&mut self, now: Micros, id: RequestId, node: ServerId, timeout: Micros) {
+        let request = number(&id);
+        let Some(open) = self.open.get_mut(&request) else {
+            warn!(self.log, "attempt for a closed request"; "request" => &*id.0);
+            return;
+        };
+        let attempt = AttemptId { request, attempt: open.attempts };
+        open.attempts += 1;
+        let left = open.deadline.saturating_sub(now);
+        if left == 0 || open.attempts > self.max_attempts {
+            let attempt = attempt.attempt;
+            let (outcome, load) = (Outcome::Moot, Vec::new());
+            let ended =
+                Ended { id, attempt, server: node, outcome, took: 0, last: false, load, settled: None };
+            return self.events.push_back(Event::Outcome(ended));
+        }
+        let ends = now + if timeout == 0 { left } else { timeout.min(left) };
+        self.edges.start(attempt, &node, &open.call, self.clock.moment(ends));
+        self.out.insert(attempt, Out { node, sent: now, ends });
+        self.timers.set(ends, Due::Attempt(attempt));
+    }
+}
+
+fn number(id: &RequestId) -> u64 {
+    u64::from_str_radix(&id.0, 16).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/net/http.rs
@@ -0,0 +1,227 @@
+//! HTTP/1.1 messages over blocking sockets: heads by httparse, bodies by length or in chunks.
+
+use super::buffers::{Buffer, SIZE};
+use std::io::{self, Read};
+
+/// How long a body is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Body {
+    /// None at all.
+    Empty,
+    /// So many bytes.
+    Length(usize),
+    /// In chunks.
+    Chunked,
+    /// Up to the end of the connection.
+    ToEnd,
+}
+
+/// Header lines in a message at most.
+pub const HEADERS: usize = 64;
+
+/// What keeps a message from being read.
+#[derive(Debug)]
+pub enum Broken {
+    /// The connection ended between two messages.
+    Closed,
+    /// The connection failed, or ended inside a message.
+    Io(io::Error),
+    /// Not HTTP.
+    Malformed(&'static str),
+    /// Larger than a buffer.
+    TooLarge,
+}
+
+impl From<io::Error> for Broken {
+    fn from(fault: io::Error) -> Self {
+        Broken::Io(fault)
+    }
+}
+
+/// Reads messages from one connection.
+pub struct Reader<R> {
+    from: R,
+    buffer: Buffer,
+    start: usize,
+    end: usize,
+}
+
+impl<R: Read> Reader<R> {
+    /// A reader at the start of a message.
+    pub fn new(from: R) -> Self {
+        Self { from, buffer: Buffer::take(), start: 0, end: 0 }
+    }
+
+    /// Reads more; false at the end of the connection.
+    fn more(&mut self) -> Result<bool, Broken> {
+        if self.start > 0 {
+            self.buffer.copy_within(self.start..self.end, 0);
+            (self.start, self.end) = (0, self.end - self.start);
+        }
+        if self.end == SIZE {
+            return Err(Broken::TooLarge);
+        }
+        let read = self.from.read(&mut self.buffer[self.end..])?;
+        self.end += read;
+        Ok(read > 0)
+    }
+
+    fn must_more(&mut self) -> Result<(), Broken> {
+        match self.more()? {
+            true => Ok(()),
+            false => Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
+        }
+    }
+
+    /// Reads a head with `parse`, which gives its length and what it says once it is whole.
+    pub fn head<T>(
+        &mut self,
+        parse: impl Fn(&[u8]) -> Result<Option<(usize, T)>, Broken>,
+    ) -> Result<T, Broken> {
+        loop {
+            if self.start < self.end {
+                if let Some((length, said)) = parse(&self.buffer[self.start..self.end])? {
+                    self.start += length;
+                    return Ok(said);
+                }
+            }
+            if !self.more()? {
+                return Err(match self.start == self.end {
+                    true => Broken::Closed,
+                    false => io::Error::from(io::ErrorKind::UnexpectedEof).into(),
+                });
+            }
+        }
+    }
+
+    /// Reads the head of a response: its status, the body that follows, whether the connection goes on.
+    pub fn response(&mut self) -> Result<(u16, Body, bool), Broken> {
+        self.head(|bytes| {
+            let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+            let mut response = httparse::Response::new(&mut headers);
+            match response.parse(bytes) {
+                Ok(httparse::Status::Complete(length)) => {
+                    let status = response.code.unwrap_or(0);
+                    let (body, keep) = framing(response.headers, response.version)?;
+                    let bare = status < 200 || status == 204 || status == 304;
+                    Ok(Some((
+                        length,
+                        (status, if bare { Body::Empty } else { body.unwrap_or(Body::ToEnd) }, keep),
+                    )))
+                }
+                Ok(httparse::Status::Partial) => Ok(None),
+                Err(_) => Err(Broken::Malformed("not an HTTP response")),
+            }
+        })
+    }
+
+    /// Reads a whole body.
+    pub fn body(&mut self, body: Body, most: usize) -> Result<Vec<u8>, Broken> {
+        let mut whole = Vec::new();
+        match body {
+            Body::Empty => {}
+            Body::Length(size) if size > most => return Err(Broken::TooLarge),
+            Body::Length(size) => self.take(size, &mut whole)?,
+            Body::Chunked => {
+                while self.chunk(&mut whole)? {
+                    if whole.len() > most {
+                        return Err(Broken::TooLarge);
+                    }
+                }
+            }
+            Body::ToEnd => loop {
+                whole.extend_from_slice(&self.buffer[self.start..self.end]);
+                (self.start, self.end) = (0, 0);
+                if whole.len() > most {
+                    return Err(Broken::TooLarge);
+                }
+                if !self.more()? {
+                    break;
+                }
+            },
+        }
+        Ok(whole)
+    }
+
+    fn take(&mut self, mut size: usize, to: &mut Vec<u8>) -> Result<(), Broken> {
+        while size > 0 {
+            if self.start == self.end {
+                self.must_more()?;
+            }
+            let part = size.min(self.end - self.start);
+            to.extend_from_slice(&self.buffer[self.start..self.start + part]);
+            (self.start, size) = (self.start + part, size - part);
+        }
+        Ok(())
+    }
+
+    /// Appends the next chunk of a body; false after the last.
+    pub fn chunk(&mut self, to: &mut Vec<u8>) -> Result<bool, Broken> {
+        loop {
+            match httparse::parse_chunk_size(&self.buffer[self.start..self.end]) {
+                Ok(httparse::Status::Complete((skip, size))) => {
+                    self.start += skip;
+                    if size > SIZE as u64 {
+                        return Err(Broken::TooLarge);
+                    }
+                    if size == 0 {
+                        // Trailers, if any, up to an empty line.
+                        while !self.line()?.is_empty() {}
+                        return Ok(false);
+                    }
+                    self.take(size as usize, to)?;
+                    return match self.line()?.is_empty() {
+                        true => Ok(true),
+                        false => Err(Broken::Malformed("chunk longer than its size")),
+                    };
+                }
+                Ok(httparse::Status::Partial) => self.must_more()?,
+                Err(_) => return Err(Broken::Malformed("bad chunk size")),
+            }
+        }
+    }
+
+    fn line(&mut self) -> Result<Vec<u8>, Broken> {
+        loop {
+            if let Some(at) = self.buffer[self.start..self.end].iter().position(|b| *b == b'\n') {
+                let line = self.buffer[self.start..self.start + at].to_vec();
+                self.start += at + 1;
+                return Ok(line.strip_suffix(b"\r").map(<[u8]>::to_vec).unwrap_or(line));
+            }
+            self.must_more()?;
+        }
+    }
+}
+
+/// The body that these headers announce, if any, and whether the connection goes on after it.
+pub fn framing(headers: &[httparse::Header], version: Option<u8>) -> Result<(Option<Body>, bool), Broken> {
+    let mut body = None;
+    let mut keep = version == Some(1);
+    for header in headers {
+        let value = std::str::from_utf8(header.value).unwrap_or("").trim();
+        if header.name.eq_ignore_ascii_case("content-length") {
+            // Digits alone: `+5` or a list would be read differently by others on the way.
+            let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+            let size =
+                value.parse().ok().filter(|_| digits).ok_or(Broken::Malformed("bad Content-Length"))?;
+            if body.is_some_and(|b| b != Body::Length(size)) {
+                return Err(Broken::Malformed("two lengths"));
+            }
+            body = Some(Body::Length(size));
+        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            if !value.eq_ignore_ascii_case("chunked") {
+                return Err(Broken::Malformed("unknown Transfer-Encoding"));
+            }
+            if body.is_some() {
+                return Err(Broken::Malformed("two lengths"));
+            }
+            body = Some(Body::Chunked);
+        } else if header.name.eq_ignore_ascii_case("connection") {
+            for word in value.split(',').map(str::trim) {
+                keep =
+                    (keep || word.eq_ignore_ascii_case("keep-alive")) && !word.eq_ignore_ascii_case("close");
+            }
+        }
+    }
+    Ok((body, keep))
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -251,15 +251,30 @@
 }
 
 impl Names {
-    /// The names in the settings of an instance.
+    /// The names in the line that starts an instance.
     pub fn from_line(line: &str) -> Names {
         let value: Value = serde_json::from_str(line).unwrap_or_default();
+        Names::from_settings(&value[3])
+    }
+
+    /// The names in the settings of an instance.
+    pub fn from_settings(facts: &Value) -> Names {
         let names = |key: &str| {
-            let list = value[3][key].as_array().cloned().unwrap_or_default();
+            let list = facts[key].as_array().map(Vec::as_slice).unwrap_or_default();
             list.iter().map(|v| v["name"].as_str().unwrap_or_default().to_owned()).collect()
         };
         Names { classes: names("classes"), plans: names("tariffs") }
     }
+
+    /// The number of a class.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.classes.iter().position(|n| n == name)
+    }
+
+    /// The number of a plan.
+    pub fn plan(&self, name: &str) -> Option<usize> {
+        self.plans.iter().position(|n| n == name)
+    }
 }
 
 fn class(facts: &Facts) -> Result<Class, Fault> {
