--- a/src/openapi/agents.rs
+++ b/src/openapi/agents.rs
@@ -51,7 +51,6 @@
             429 => "Too Many Requests",
             431 => "Request Header Fields Too Large",
             502 => "Bad Gateway",
-            503 => "Service Unavailable",
             504 => "Gateway Timeout",
             _ => "Error",
         };
@@ -101,7 +100,7 @@
             let shape = || Shape { keep: ask.keep, modern: ask.modern, head: ask.method == "HEAD" };
             let (keep, own) = (ask.keep, shape());
             let Some((number, slot)) = desk.place(shape()) else { return };
-            match self.understand(number, ask, body, arrived, slot, desk.ready()) {
+            match self.understand(number, ask, body, arrived, slot) {
                 Ok(request) => desk.ask(request),
                 Err((slot, problem)) => {
                     _ = slot.send(Reply::Words { text: problem.text(&own), last: !keep });
@@ -202,7 +201,6 @@
         body: Vec<u8>,
         arrived: Instant,
         slot: Slot<HttpServed>,
-        ready: bool,
     ) -> Understood {
         let path = ask.target.split(['?', '#']).next().unwrap_or("");
         let operation = match self.description.find(&ask.method, path) {
@@ -224,14 +222,12 @@
                 return Err((slot, Problem::new(400, format!("the operation needs a key in {key}"))));
             }
         }
-        let Some(class) = self.description.classes.get(operation.class).filter(|_| ready) else {
-            let problem = Problem(503, "no node list yet".into(), Some(("Retry-After", "1".into())));
-            return Err((slot, problem));
-        };
+        // The core has the node list of the file before any request.
+        let budget = self.description.classes.get(operation.class).map_or(0, |class| class.deadline);
         Ok(Incoming {
             number,
             arrived,
-            budget: Duration::from_micros(class.deadline),
+            budget: Duration::from_micros(budget),
             class: operation.class,
             plan: account.plan,
             account: CustomerId::from(name.as_str()),
--- /dev/null
+++ b/tests/openapi.rs
@@ -0,0 +1,190 @@
+//! Stories of the OpenAPI front, over loopback: the description in `deploy/` against scripted peers.
+
+mod peers;
+
+use mossrill::config;
+use mossrill::openapi::description::Description;
+use peers::*;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+const DESCRIPTION: &str = include_str!("../deploy/ferry.openapi.json");
+const FILE: &str = include_str!("../deploy/openapi.json");
+
+/// The file in `deploy/` with ports of this test.
+fn file(nodes: &[SocketAddr], store: Value) -> Value {
+    let mut file: Value = serde_json::from_str(FILE).expect("JSON");
+    let nodes = nodes
+        .iter()
+        .enumerate()
+        .map(|(n, at)| json!({"name": format!("node-{n}"), "address": at.to_string()}));
+    file["listen"] = json!("127.0.0.1:0");
+    file["ticket_nodes"] = nodes.collect();
+    file["store"] = store;
+    file
+}
+
+/// A ticket node that answers its first requests by this list and serves the rest; what it was asked.
+fn node(first: &[&'static str]) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+    let (script, asked) = (Mutex::new(first.to_vec()), Arc::new(Mutex::new(Vec::new())));
+    let own = asked.clone();
+    let at = http_peer(move |first, headers, body| {
+        let left = headers.iter().find_map(|l| l.strip_prefix("X-Deadline-Ms: ")?.parse::<u64>().ok());
+        let in_time = left.is_some_and(|ms| ms > 0 && ms <= 5_000);
+        own.lock().expect("whole").push(format!("{first} | {body} | time left told: {in_time}"));
+        let mut script = script.lock().expect("whole");
+        match (!script.is_empty()).then(|| script.remove(0)) {
+            Some("close") => Act::Close,
+            Some("hang") => Act::Hang,
+            Some(status) => answer(status, "{}"),
+            None => answer("200 OK", "{\"ok\":true}"),
+        }
+    });
+    (at, asked)
+}
+
+fn request(line: &str, headers: &str, body: &str) -> String {
+    let length = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    format!("{line} HTTP/1.1\r\nHost: x\r\nX-Agent-Account: agen-utama\r\n{headers}{length}\r\n{body}")
+}
+
+/// Sends a request and reads its answer: status line, the header lines that a client acts on, body.
+fn exchange(agent: &mut Agent, text: &str) -> String {
+    agent.say(text);
+    let (first, headers, body) = http(&mut agent.0, text.starts_with("HEAD")).expect("an answer");
+    let told = ["Retry-After", "Allow", "WWW-Authenticate", "Connection", "X-From", "Content-Length"];
+    let told = headers.into_iter().filter(|l| told.iter().any(|t| l.starts_with(t)));
+    let told = told.filter(|l| text.starts_with("HEAD") || !l.starts_with("Content-Length"));
+    std::iter::once(first).chain(told).chain([body]).collect::<Vec<_>>().join(" | ")
+}
+
+const LOOK: &str = "GET /v1/sailings/KMP-7/seats?class=2";
+const HOLD: &str = "POST /v1/sailings/KMP-7/holds";
+const PAY: &str = "POST /v1/tickets";
+const REPORT: &str = "GET /v1/reports/daily";
+const KEY: &str = "Idempotency-Key: 77\r\n";
+
+#[test]
+fn each_operation_is_charged_its_units_and_repeated_as_its_effect_allows() {
+    let mut told = Vec::new();
+    for (operation, headers, body) in [(LOOK, "", ""), (HOLD, KEY, "two"), (PAY, "", "pay"), (REPORT, "", "")]
+    {
+        // A 500 may have run; a 503 never did, as the description states of all but the report.
+        for trouble in ["none", "500 Oops", "503 Busy", "close"] {
+            let (at, asked) = node(if trouble == "none" { &[] } else { std::slice::from_ref(&trouble) });
+            let (counter, totals) = quota_counter();
+            // Two limiters: units are told to the others.
+            let mut file = file(&[at, at], json!({"kind": "quota-counter", "address": counter.to_string()}));
+            file["limiters"] = json!({"me": 0, "all": 2});
+            let limiter = openapi_limiter(&file, DESCRIPTION);
+            let mut agent = Agent::connect(&limiter);
+            let answer = exchange(&mut agent, &request(operation, headers, body));
+            let asked = asked.lock().expect("whole").join("\n    ");
+            // What is told of in passing is told within a second.
+            let charged = until(|| totals.lock().expect("whole").values().sum::<f64>(), |total| *total > 0.0);
+            told.push(format!("{operation}, {trouble}: {answer}\n    charged {charged}\n    {asked}"));
+        }
+    }
+    insta::assert_snapshot!(told.join("\n"));
+}
+
+#[test]
+fn http_s_own_answers() {
+    let (at, asked) = node(&[]);
+    let limiter = openapi_limiter(&file(&[at], json!({})), DESCRIPTION);
+    let mut agent = Agent::connect(&limiter);
+    let mut told = Vec::new();
+    for text in [
+        request("GET /v1/nowhere", "", ""),
+        request("DELETE /v1/tickets", "", ""),
+        request("POST /v1/sailings/KMP-7/seats", "", ""),
+        request(LOOK, "", "").replace("agen-utama", "nobody"),
+        request(HOLD, "", "no key"),
+        request(PAY, "Expect: 100-continue\r\n", "patient"),
+        request(LOOK, "", "").replace("GET", "HEAD"),
+        request(PAY, "Transfer-Encoding: chunked\r\n", "")
+            .replace("\r\n\r\n", "\r\n\r\n3\r\npay\r\n2\r\n!!\r\n0\r\n\r\n"),
+    ] {
+        told.push(exchange(&mut agent, &text));
+        if told.last().is_some_and(|t| t.contains(" 100 ")) {
+            told.push(exchange(&mut agent, ""));
+        }
+    }
+    // Each of these ends its connection.
+    for text in [
+        request(PAY, "Content-Length: 70000\r\n", ""),
+        request(PAY, "Content-Length: +5\r\n", ""),
+        request(PAY, "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", ""),
+        "GET /v1/reports/daily HTTP/1.1\r\n\r\n".into(),
+        "NONSENSE\r\n\r\n".into(),
+        request(LOOK, &format!("X-Long: {}\r\n", "x".repeat(70_000)), ""),
+        request(LOOK, "Connection: close\r\n", ""),
+    ] {
+        let mut agent = Agent::connect(&limiter);
+        told.push(format!("{} then {:?}", exchange(&mut agent, &text), agent.line()));
+    }
+    let asked = asked.lock().expect("whole").join("\n");
+    insta::assert_snapshot!(format!("{}\n{asked}", told.join("\n")));
+}
+
+#[test]
+fn quota_node_failures_and_deadlines_become_statuses() {
+    let (dead, _) = node(&["500 Oops", "500 Oops", "500 Oops", "500 Oops", "500 Oops"]);
+    let (hung, _) = node(&["hang"]);
+    let mut told = Vec::new();
+    let limiter = openapi_limiter(&file(&[dead], json!({})), DESCRIPTION);
+    told.push(exchange(&mut Agent::connect(&limiter), &request(PAY, "", "pay")));
+    let short = DESCRIPTION
+        .replace("\"aim-ms\": 1200, \"deadline-ms\": 3000", "\"aim-ms\": 200, \"deadline-ms\": 200");
+    let limiter = openapi_limiter(&file(&[hung], json!({})), &short);
+    told.push(exchange(&mut Agent::connect(&limiter), &request(PAY, "", "pay")));
+    // A plan whose store holds one payment, and fills far too slowly for another.
+    let (at, asked) = node(&[]);
+    let mut file = file(&[at], json!({}));
+    file["plans"][2] = json!({"name": "utama", "rate": 0.001, "burst": 4});
+    let limiter = openapi_limiter(&file, DESCRIPTION);
+    let mut agent = Agent::connect(&limiter);
+    for _ in 0..2 {
+        told.push(exchange(&mut agent, &request(PAY, "", "pay")));
+    }
+    told.push(format!("sent on: {}", asked.lock().expect("whole").len()));
+    insta::assert_snapshot!(told.join("\n"));
+}
+
+#[test]
+fn descriptions_that_leave_something_open_are_not_taken() {
+    let mut told = Vec::new();
+    for (from, to) in [
+        ("\"openapi\": \"3.0.3\"", "\"openapi\": \"2.0\""),
+        ("\"operationId\": \"tahanKursi\"", "\"operationId\": \"cekKursi\""),
+        ("\"/reports/daily\"", "\"/sailings/{other}/seats\""),
+        ("\"/reports/daily\"", "\"/tickets\""),
+        ("\"x-quota-units\": 4,", ""),
+        ("\"x-quota-units\": 4", "\"x-quota-units\": 4, \"x-quota-units\": 1"),
+        ("\"x-quota-effect\": \"unsafe\"", "\"x-quota-effect\": \"often\""),
+        (
+            "#/components/responses/TurnedAway\"}\n        }\n      }\n    },\n    \"/reports",
+            "#/nowhere\"}}}},\"/reports",
+        ),
+        ("\"x-quota-class\": \"laporan\"", "\"x-quota-class\": \"lapor\""),
+        ("\"503\": {\"$ref\"", "\"default\": {\"$ref\""),
+        ("\"worth\": 5, ", ""),
+    ] {
+        assert!(DESCRIPTION.contains(from), "{from}");
+        let faults = Description::read(&DESCRIPTION.replacen(from, to, 1)).expect_err(to);
+        told.push(format!("{from} -> {to}\n    {}", faults.join("\n    ")));
+    }
+    let good = Description::read(DESCRIPTION).expect("a good description");
+    told.push(format!("never repeated, as unmarked: {:?}", good.unmarked));
+    for (key, value) in [
+        ("description", json!(null)),
+        ("accounts", json!([{"name": "a", "plan": "gratis"}])),
+        ("listen", json!(5)),
+    ] {
+        let mut file = file(&[], json!({}));
+        file[key] = value;
+        told.push(config::openapi(&file.to_string(), |_| Ok(DESCRIPTION.into())).err().expect(key));
+    }
+    insta::assert_snapshot!(told.join("\n"));
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -18,6 +18,19 @@
 /// Long enough for anything that is to happen at all.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Looks until what it sees is so, with patience.
+pub fn until<T: std::fmt::Debug>(look: impl Fn() -> T, so: impl Fn(&T) -> bool) -> T {
+    let began = std::time::Instant::now();
+    loop {
+        let seen = look();
+        if so(&seen) {
+            return seen;
+        }
+        assert!(began.elapsed() < PATIENCE, "still {seen:?}");
+        thread::yield_now();
+    }
+}
+
 /// A peer: each connection that it takes is handled by `work`, with its number.
 pub fn peer(work: impl Fn(usize, TcpStream) + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -26,6 +39,7 @@
     thread::spawn(move || {
         for (number, stream) in listener.incoming().flatten().enumerate() {
             let work = work.clone();
+            stream.set_nodelay(true).expect("a socket");
             thread::spawn(move || work(number, stream));
         }
     });
