Say when to come back on every refusal; let an end wait for what was just read

Seen: a request given up after its attempts, or late from the start, got a bare -BUSY; agents come again at once and are refused again. Lines: policy.rs again() and admit(), after: 0. Now come_back() as elsewhere. Seen by reading: a request read just before the word to stop could still be in the queue when the core found nothing open and ended. It waits 100 ms now. Ruled out there: memory (10 MB), descriptors (134), CPU (0.07 s a second).

--- a/src/limiter/mod.rs
+++ b/src/limiter/mod.rs
@@ -20,6 +20,10 @@
 /// What the module gives up so shortly before its deadline has run out of time, not out of nodes.
 const LAST_MOMENTS: Micros = 50_000;
 
+/// Guards against an end between the reading of a request and its way through the queue: the agent would find
+/// its connection closed under a request that was taken.
+const STILL_READ: Micros = 100_000;
+
 /// Names an attempt: the number of its request, and its place among that request's attempts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptId {
@@ -144,6 +148,7 @@
     Attempt(AttemptId),
     Request(u64),
     Count(u64),
+    Quiet,
     Stop,
 }
 
@@ -182,7 +187,8 @@
     events: VecDeque<Event>,
     actions: Vec<Action>,
     ready: Sender<()>,
-    stopping: bool,
+    /// Told to stop, long enough ago for whatever was read by then to be here.
+    quiet: bool,
 }
 
 impl<E: Edges> Core<E> {
@@ -213,13 +219,13 @@
             events: VecDeque::new(),
             actions: Vec::new(),
             ready,
-            stopping: false,
+            quiet: false,
         }
     }
 
     /// Runs until it is stopped and everything open is answered.
     pub fn run(mut self, inputs: Receiver<Input<E>>) {
-        while !(self.stopping && self.open.is_empty()) {
+        while !self.quiet || !self.open.is_empty() {
             let input = match self.timers.next() {
                 Some(at) => inputs.recv_deadline(self.clock.moment(at)),
                 None => inputs.recv().map_err(|_| RecvTimeoutError::Disconnected),
@@ -267,7 +273,7 @@
             }
             Input::Stop(by) => {
                 info!(self.log, "stopping"; "open" => self.open.len());
-                self.stopping = true;
+                self.timers.set(now + STILL_READ, Due::Quiet);
                 self.timers.set(self.clock.at(by), Due::Stop);
             }
         }
@@ -326,6 +332,7 @@
                     self.tell(now, Event::Counted { name, total: 0.0, outcome: Outcome::Timeout });
                 }
             }
+            Due::Quiet => self.quiet = true,
             Due::Stop => {
                 let open: Vec<u64> = self.open.keys().copied().collect();
                 warn!(self.log, "out of time to stop"; "open" => open.len());
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -180,7 +180,7 @@
         // A later try whose first is past its aim earns nothing, one with less time than a look takes is lost
         // if kept: both are refused at once, before they take quota or servers.
         if request.budget < 4 * step || (late && class.late_worth <= 0.0) {
-            act.push(Action::Refuse { id: request.id, after: 0 });
+            act.push(Action::Refuse { id: request.id, after: self.come_back() });
             return;
         }
         let aim = if late { class.aim } else { class.aim - elapsed };
@@ -532,7 +532,7 @@
         if server.is_some_and(|s| self.send(now, id, s, act)) {
             self.retries -= price;
         } else {
-            self.finish(id, End::Turned { after: 0 }, act);
+            self.finish(id, End::Turned { after: self.come_back() }, act);
         }
     }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -103,6 +103,18 @@
     insta::assert_snapshot!(format!("{first}\n{}", agent.answer()));
 }
 
+#[test]
+fn a_safe_request_that_is_given_up_is_told_when_to_come_back() {
+    // A bare refusal had agents come again at once, to be refused again.
+    let (node, _seen) = resp_peer(|_, _| Act::Hang);
+    let limiter = started(&[("s-1", node)]);
+    let mut agent = Agent::ready(&limiter);
+    agent.ask("look", "look-1", 300);
+    assert_eq!(agent.answer(), "-BUSY 267");
+    agent.ask("look", "look-2", 20);
+    assert_eq!(agent.answer(), "-BUSY 267");
+}
+
 #[test]
 fn a_connection_that_the_node_closed_meanwhile_is_known_before_it_is_used_again() {
     // To write a payment to it would be a reset, and the payment in doubt.
