--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,114 @@
+//! Stories of the core alone: its edges are played by the test, nothing goes over a socket.
+
+use crossbeam_channel::{bounded, unbounded, Receiver, Sender};
+use mossrill::interface::*;
+use mossrill::limiter::{Answer, AttemptId, Clock, Core, Edges, Incoming, Input};
+use slog::{o, Discard, Logger};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Tells each answer, and each attempt as it starts.
+struct Played {
+    answers: Sender<(u64, String)>,
+    started: Sender<AttemptId>,
+}
+
+impl Edges for Played {
+    type Client = u64;
+    type Call = ();
+    type Value = &'static str;
+
+    fn answer(&mut self, client: u64, answer: Answer<&'static str>) {
+        _ = self.answers.send((client, format!("{answer:?}")));
+    }
+
+    fn start(&mut self, attempt: AttemptId, _: &ServerId, _: &Arc<()>, _: Instant) {
+        _ = self.started.send(attempt);
+    }
+
+    fn cancel(&mut self, _: AttemptId) {}
+
+    fn probe(&mut self, _: &ServerId) {}
+
+    fn add(&mut self, _: u64, _: u64, _: f64, _: Duration) {}
+}
+
+type Story = (Sender<Input<Played>>, Receiver<(u64, String)>, Receiver<AttemptId>);
+
+/// A core that finds these inputs in its queue when it starts.
+fn core(max_open: usize, inputs: Vec<Input<Played>>) -> Story {
+    let class = Class { aim: 800_000, deadline: 2_000_000, worth: 1.0, ..Class::default() };
+    let settings = Settings {
+        gateways: 1,
+        classes: vec![Class { effect: Effect::Unsafe, ..class }],
+        plans: vec![Plan { rate: 100.0, burst: 200.0, price: 1.0, ..Plan::default() }],
+        limits: Limits { max_attempts: 4, cancel: true, ..Limits::default() },
+        ..Settings::default()
+    };
+    let ((queue, taken), (answers, told), (started, attempts)) = (unbounded(), unbounded(), unbounded());
+    let node = |name: &str| Member {
+        id: name.into(),
+        zone: String::new(),
+        cell: 0,
+        readiness: Readiness::Ready,
+        weight: 1.0,
+        started: 0,
+    };
+    _ = queue.send(Input::Nodes(Scope::Full, vec![node("a"), node("b"), node("c")]));
+    inputs.into_iter().for_each(|input| _ = queue.send(input));
+    let (edges, log) = (Played { answers, started }, Logger::root(Discard, o!()));
+    thread::spawn(move || {
+        Core::new(settings, 7, max_open, edges, Clock::start(), bounded(1).0, log).run(taken);
+    });
+    (queue, told, attempts)
+}
+
+fn request(number: u64) -> Input<Played> {
+    Input::Request(Incoming {
+        number,
+        arrived: Instant::now(),
+        budget: Duration::from_secs(2),
+        class: 0,
+        plan: 0,
+        account: "agent".into(),
+        units: 1.0,
+        spread: 1,
+        first: 0,
+        client: number,
+        call: (),
+    })
+}
+
+fn ended(attempt: AttemptId, outcome: Outcome, value: Option<&'static str>) -> Input<Played> {
+    Input::Ended { attempt, outcome, load: Vec::new(), value }
+}
+
+#[test]
+fn a_request_behind_the_word_to_stop_is_answered_before_the_end() {
+    let by = Instant::now() + Duration::from_secs(30);
+    let (queue, told, attempts) = core(10, vec![Input::Stop(by), request(1)]);
+    let attempt = attempts.recv().expect("an attempt, and no end before it");
+    _ = queue.send(ended(attempt, Outcome::Ok, Some("ticket")));
+    assert_eq!(told.recv(), Ok((1, "Served(\"ticket\")".into())));
+    // Nothing is open any more: the core ends, and its edges with it.
+    assert!(told.recv().is_err());
+}
+
+#[test]
+fn only_the_first_end_of_an_attempt_counts() {
+    let (queue, told, attempts) = core(10, vec![request(1)]);
+    let first = attempts.recv().expect("an attempt");
+    _ = queue.send(ended(first, Outcome::Full, None));
+    let second = attempts.recv().expect("another, as the first never ran");
+    // What comes late of the first is dropped.
+    _ = queue.send(ended(first, Outcome::Ok, Some("late")));
+    _ = queue.send(ended(second, Outcome::Ok, Some("ticket")));
+    assert_eq!(told.recv(), Ok((1, "Served(\"ticket\")".into())));
+}
+
+#[test]
+fn more_open_requests_than_there_is_memory_for_are_refused_at_once() {
+    let (_queue, told, _attempts) = core(2, vec![request(1), request(2), request(3)]);
+    assert_eq!(told.recv(), Ok((3, "Refused { after: 500ms, late: false }".into())));
+}
