--- a/src/config.rs
+++ b/src/config.rs
@@ -23,6 +23,8 @@
     pub names: Names,
     /// Names of the figures of a load report, in the module's order.
     pub load_fields: Vec<String>,
+    /// Units that a request may count at most.
+    pub most_units: f64,
 }
 
 /// What every limiter is told, whatever it speaks.
@@ -162,6 +164,8 @@
     let part = |key: &str| facts.get(key).unwrap_or(&Value::Null);
     let limits = Key::new(part("limits"), "settings.limits");
     let load = Key::new(part("loadInfo"), "settings.loadInfo");
+    let specifics = Key::new(part("specifics"), "settings.specifics");
+    let above = |v: &Value| v.as_f64().filter(|n| *n > 0.0);
     let fields = |v: &Value| v.as_array()?.iter().map(|f| f.as_str().map(str::to_owned)).collect();
     let sockets =
         Key::new(&value["limits"], "limits").or("sockets", 1_024, "a whole number", Value::as_u64)?;
@@ -184,6 +188,7 @@
         quota_counter,
         names: Names::from_settings(facts),
         load_fields: load.or("fields", Vec::new(), "a list of names", fields)?,
+        most_units: specifics.or("unitsTop", f64::MAX, "a number above 0", above)?,
         common: Common {
             name: root.text("name")?.to_owned(),
             listen: root.address("listen")?,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 #![warn(missing_docs)]
 
 pub mod config;
+pub mod hush;
 pub mod interface;
 pub mod limiter;
 pub mod net;
--- a/src/limiter/mod.rs
+++ b/src/limiter/mod.rs
@@ -8,11 +8,12 @@
 
 pub use timers::Clock;
 
+use crate::hush::Hush;
 use crate::interface::*;
 use crate::Gateway;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use slog::{info, warn, Logger};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use timers::Timers;
@@ -64,8 +65,9 @@
     fn answer(&mut self, client: Self::Client, answer: Answer<Self::Value>);
     /// Starts an attempt that is waited for until `ends`.
     fn start(&mut self, attempt: AttemptId, node: &ServerId, call: &Arc<Self::Call>, ends: Instant);
-    /// Gives an attempt up; whatever it still brings is dropped.
-    fn cancel(&mut self, attempt: AttemptId);
+    /// Gives an attempt up; whatever it still brings is dropped. False if not a byte of it was written: it never
+    /// ran and never will.
+    fn cancel(&mut self, attempt: AttemptId) -> bool;
     /// Asks a ticket node for its load.
     fn probe(&mut self, node: &ServerId);
     /// Adds to a count; `call` comes back with the total.
@@ -76,6 +78,8 @@
 pub struct Incoming<E: Edges> {
     /// Its number, never used twice in this process.
     pub number: u64,
+    /// Its name where agents give one; no two open requests have the same.
+    pub id: Option<RequestId>,
     /// When its last byte came.
     pub arrived: Instant,
     /// How long the agent waits from then on.
@@ -154,6 +158,7 @@
 
 struct Open<E: Edges> {
     id: RequestId,
+    name: Option<RequestId>,
     client: E::Client,
     call: Arc<E::Call>,
     deadline: Micros,
@@ -180,6 +185,8 @@
     counter_timeout: Micros,
     max_open: usize,
     open: HashMap<u64, Open<E>>,
+    /// The names of those that have one.
+    names: HashSet<RequestId>,
     out: HashMap<AttemptId, Out>,
     counts: HashMap<u64, u64>,
     count_calls: u64,
@@ -189,6 +196,8 @@
     ready: Sender<()>,
     /// Told to stop, long enough ago for whatever was read by then to be here.
     quiet: bool,
+    full: Hush,
+    twice: Hush,
 }
 
 impl<E: Edges> Core<E> {
@@ -212,6 +221,7 @@
             log,
             max_open,
             open: HashMap::new(),
+            names: HashSet::new(),
             out: HashMap::new(),
             counts: HashMap::new(),
             count_calls: 0,
@@ -220,6 +230,8 @@
             actions: Vec::new(),
             ready,
             quiet: false,
+            full: Hush::default(),
+            twice: Hush::default(),
         }
     }
 
@@ -253,7 +265,7 @@
             }
             Input::Request(incoming) => self.admit(now, incoming),
             Input::Left(number) => {
-                if let Some(open) = self.open.remove(&number) {
+                if let Some(open) = self.close(number) {
                     self.tell(now, Event::Gone { id: open.id });
                 }
             }
@@ -284,10 +296,19 @@
         let deadline = arrived + incoming.budget.as_micros() as Micros;
         // Bounds the memory that requests hold. Nothing has run yet, so the refusal is harmless.
         if self.open.len() >= self.max_open {
-            warn!(self.log, "too many open requests"; "open" => self.open.len());
+            if let Some(more) = self.full.due() {
+                warn!(self.log, "too many open requests"; "open" => self.open.len(), "unlogged" => more);
+            }
             let answer = Answer::Refused { after: Duration::from_millis(500), late: false };
             return self.edges.answer(incoming.client, answer);
         }
+        // Guards against the id of another agent's open request: ticket nodes would take the one for the other.
+        if incoming.id.as_ref().is_some_and(|name| !self.names.insert(name.clone())) {
+            if let Some(more) = self.twice.due() {
+                info!(self.log, "id of an open request"; "unlogged" => more);
+            }
+            return self.edges.answer(incoming.client, Answer::Failed { late: false });
+        }
         let id = RequestId::from(format!("{:x}", incoming.number).as_str());
         let request = Request {
             id: id.clone(),
@@ -301,6 +322,7 @@
         };
         let open = Open {
             id,
+            name: incoming.id,
             client: incoming.client,
             call: Arc::new(incoming.call),
             deadline,
@@ -319,11 +341,13 @@
             Due::Module(token) => self.tell(now, Event::Timer { token }),
             Due::Attempt(attempt) => {
                 if let Some(out) = self.out.remove(&attempt) {
-                    self.edges.cancel(attempt);
+                    let written = self.edges.cancel(attempt);
                     if let Some(open) = self.open.get_mut(&attempt.request) {
                         open.late = true;
                     }
-                    self.ended(now, attempt, out, Outcome::Timeout, Vec::new(), None);
+                    // Not a byte of it left: the connection never came up in the time there was.
+                    let outcome = if written { Outcome::Timeout } else { Outcome::ConnectFailed };
+                    self.ended(now, attempt, out, outcome, Vec::new(), None);
                 }
             }
             Due::Request(number) => self.overdue(now, number),
@@ -343,12 +367,21 @@
 
     /// Guards against a module that says nothing: the agent gets its answer at its deadline all the same.
     fn overdue(&mut self, now: Micros, number: u64) {
-        let Some(open) = self.open.remove(&number) else { return };
+        let Some(open) = self.close(number) else { return };
         warn!(self.log, "unanswered at its deadline"; "request" => &*open.id.0, "attempts" => open.attempts);
         self.edges.answer(open.client, Answer::Failed { late: true });
         self.tell(now, Event::Gone { id: open.id });
     }
 
+    /// Takes a request out of the open ones: its answer is due now.
+    fn close(&mut self, number: u64) -> Option<Open<E>> {
+        let open = self.open.remove(&number)?;
+        if let Some(name) = &open.name {
+            self.names.remove(name);
+        }
+        Some(open)
+    }
+
     /// The first good answer goes to the agent at once; the module hears of every end.
     fn ended(
         &mut self,
@@ -361,7 +394,7 @@
     ) {
         let number = attempt.request;
         if let (Outcome::Ok, Some(value)) = (outcome, value) {
-            if let Some(open) = self.open.remove(&number) {
+            if let Some(open) = self.close(number) {
                 self.edges.answer(open.client, Answer::Served(value));
             }
         }
@@ -402,24 +435,24 @@
             Action::Cancel { id, attempt } => {
                 let attempt = AttemptId { request: number(&id), attempt };
                 if let Some(out) = self.out.remove(&attempt) {
-                    self.edges.cancel(attempt);
+                    let written = self.edges.cancel(attempt);
                     self.events.push_back(Event::Outcome(Ended {
                         id,
                         attempt: attempt.attempt,
                         server: out.node,
-                        outcome: Outcome::Cancelled,
+                        outcome: if written { Outcome::Cancelled } else { Outcome::Moot },
                         took: now.saturating_sub(out.sent),
                         last: !self.open.contains_key(&attempt.request),
                         load: Vec::new(),
                         settled: None,
                     }));
                     if let Some(open) = self.open.get_mut(&attempt.request) {
-                        open.may_have_run = true;
+                        open.may_have_run |= written;
                     }
                 }
             }
             Action::Refuse { id, after } => {
-                let Some(open) = self.open.remove(&number(&id)) else { return };
+                let Some(open) = self.close(number(&id)) else { return };
                 let late = open.late || now + LAST_MOMENTS >= open.deadline;
                 // The rule on refusals binds whoever words them: what may have run is failed, not refused.
                 let answer = if open.safe || !open.may_have_run {
@@ -430,7 +463,7 @@
                 self.edges.answer(open.client, answer);
             }
             Action::Fail { id } => {
-                let Some(open) = self.open.remove(&number(&id)) else { return };
+                let Some(open) = self.close(number(&id)) else { return };
                 let late = open.late || now + LAST_MOMENTS >= open.deadline;
                 self.edges.answer(open.client, Answer::Failed { late });
             }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,14 +1,14 @@
-//! A limiter on real sockets: wiring, and the word to stop.
+//! A limiter on real sockets: wiring, and the words to stop and to read the configuration again.
 
 #![forbid(unsafe_code)]
 
 use mossrill::net::front::Manner;
-use mossrill::net::wiring::Limiter;
+use mossrill::net::wiring::{Limiter, Reload};
 use mossrill::net::{platform, spawn};
 use mossrill::{config, openapi};
-use signal_hook::consts::SIGTERM;
+use signal_hook::consts::{SIGHUP, SIGTERM};
 use signal_hook::iterator::Signals;
-use slog::{crit, info, o, Drain, Logger};
+use slog::{crit, error, info, o, Drain, Logger};
 use std::io;
 use std::path::Path;
 use std::process::ExitCode;
@@ -26,19 +26,23 @@
 }
 
 fn run(log: &Logger) -> Result<(), String> {
-    // Before anything listens: the word to stop may come at any time.
-    let signals = Signals::new([SIGTERM]).map_err(|e| format!("signals: {e}"))?;
+    // Before anything listens: the words to stop or to read the configuration again may come at any time.
+    let signals = Signals::new([SIGTERM, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     match std::env::args().nth(1) {
         Some(path) => {
-            let config = config::openapi(&read(&path)?, |name| read(&beside(&path, name)));
-            let config = config.map_err(|e| format!("{path}: {e}"))?;
-            serve(openapi::start(config, log), signals, log)
+            let again = move || {
+                let config = config::openapi(&read(&path)?, |name| read(&beside(&path, name)));
+                config.map_err(|e| format!("{path}: {e}"))
+            };
+            serve(openapi::start(again()?, log), again, signals, log)
         }
         None => {
             let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG is not set, wanted a file")?;
-            let config = config::platform(&read(&path)?, |name| std::env::var(name).ok());
-            let config = config.map_err(|e| format!("{path}: {e}"))?;
-            serve(platform::start(config, log), signals, log)
+            let again = move || {
+                let config = config::platform(&read(&path)?, |name| std::env::var(name).ok());
+                config.map_err(|e| format!("{path}: {e}"))
+            };
+            serve(platform::start(again()?, log), again, signals, log)
         }
     }
 }
@@ -51,18 +55,26 @@
     Path::new(path).with_file_name(name).to_string_lossy().into_owned()
 }
 
-fn serve<M: Manner>(
-    limiter: io::Result<Limiter<M>>,
+fn serve<M: Manner, C: 'static>(
+    limiter: io::Result<(Limiter<M>, Reload<C>)>,
+    again: impl Fn() -> Result<C, String> + Send + 'static,
     mut signals: Signals,
     log: &Logger,
 ) -> Result<(), String> {
-    let limiter = limiter.map_err(|e| e.to_string())?;
+    let (limiter, mut reload) = limiter.map_err(|e| e.to_string())?;
     let stopper = limiter.stopper();
     let told = log.clone();
     spawn("signals", move || {
-        if signals.forever().next().is_some() {
-            info!(told, "told to stop");
-            stopper.stop();
+        for signal in signals.forever() {
+            if signal == SIGTERM {
+                info!(told, "told to stop");
+                return stopper.stop();
+            }
+            // Guards against a file that is bad or only half written: what is in use stays in use.
+            match again() {
+                Ok(config) => reload(config),
+                Err(fault) => error!(told, "configuration not taken, the old one stands"; "fault" => fault),
+            }
         }
     })
     .map_err(|e| e.to_string())?;
--- a/src/net/agents.rs
+++ b/src/net/agents.rs
@@ -1,48 +1,67 @@
 //! The platform's front: agents' commands in RESP, each passed on as it came but for the time left.
 
 use super::buffers::{Buffer, SIZE};
-use super::front::{Desk, Manner, Reply, Slot};
+use super::front::{Desk, Dismissal, Manner, Reply};
 use super::node_calls::{PlatformCall, PlatformSpeech, Served, FIELDS};
 use super::resp;
-use super::wiring::Wiring;
-use crate::interface::CustomerId;
+use crate::interface::{CustomerId, Effect, RequestId};
 use crate::limiter::{Answer, Incoming};
 use crate::wire::Names;
-use slog::info;
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::TcpStream;
 use std::ops::Range;
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// A command can grow by the digits of a new deadline on its way to a ticket node.
 const LONGEST_COMMAND: usize = SIZE - 64;
+/// Places of the agent account and of the request's id among a command's words.
+const ACCOUNT: usize = 1;
+const ID: usize = 2;
+/// Commands in a row that can't be understood before the connection is closed, and the wait after the first; it
+/// grows with each.
+const MOST_BAD: u32 = 8;
+const BAD_WAIT: Duration = Duration::from_millis(10);
 
 /// What agents speak on the platform.
 pub struct Agents {
     /// Names of classes and plans.
     pub names: Names,
-    /// By class: the longest that an agent waits.
-    pub deadlines: Vec<Duration>,
+    /// By class: the longest that an agent waits, and whether it may run again.
+    pub classes: Vec<(Duration, Effect)>,
+    /// Units that a request may count at most.
+    pub most_units: f64,
+    /// Limiters in all.
+    pub limiters: u32,
 }
 
-type Refused = (Slot<Served>, &'static str);
+/// What a command asks for, once it has been found good.
+struct Asked {
+    class: usize,
+    plan: usize,
+    budget: Duration,
+    units: f64,
+    spread: u32,
+    first: u32,
+    /// Where the value of `d` stands.
+    wait: Range<usize>,
+}
 
 impl Manner for Agents {
     type Speech = PlatformSpeech;
     type Shape = ();
 
-    fn read(&self, mut stream: &TcpStream, desk: &Desk<Self>) {
-        let (mut buffer, mut end) = (Buffer::take(), 0);
+    fn read(&self, stream: &TcpStream, desk: &Desk<Self>) {
+        let (mut buffer, mut end, mut bad) = (Buffer::none(), 0, 0);
         loop {
-            match stream.read(&mut buffer[end..]) {
+            match buffer.read(end, stream) {
                 Ok(0) => return,
                 Ok(read) => end += read,
-                Err(fault) if fault.kind() == io::ErrorKind::Interrupted => continue,
                 Err(_) => return,
             }
             let arrived = Instant::now();
             let mut start = 0;
-            loop {
+            while start < end {
                 let (mut words, size) = match resp::command(&buffer[start..end]) {
                     Ok(Some((words, size))) if size <= LONGEST_COMMAND => (words, size),
                     Ok(None) if end - start < LONGEST_COMMAND => break,
@@ -51,26 +70,71 @@
                 };
                 words.iter_mut().for_each(|w| *w = w.start + start..w.end + start);
                 start += size;
-                let Some((number, slot)) = desk.place(()) else { return };
                 if words.len() <= FIELDS {
-                    _ = slot.send(word(&buffer[words[0].clone()], desk.ready()));
+                    if !desk.say((), word(&buffer[words[0].clone()], desk.ready())) {
+                        return;
+                    }
                     continue;
                 }
+                let asked = match self.understand(&buffer, &words) {
+                    Ok(asked) => asked,
+                    Err(fault) => {
+                        // Guards against agents that send the same thing again as soon as it is turned away:
+                        // their errors come at once, but ever less often, and then no more.
+                        bad += 1;
+                        if bad > MOST_BAD {
+                            return malformed(desk, fault);
+                        }
+                        desk.complain(fault);
+                        if !desk.say((), Reply::words(&format!("-ERR {fault}\r\n"))) {
+                            return;
+                        }
+                        thread::sleep(BAD_WAIT * bad);
+                        continue;
+                    }
+                };
+                bad = 0;
+                let Some((number, client)) = desk.place(()) else { return };
+                let text = |at: usize| String::from_utf8_lossy(&buffer[words[at].clone()]);
+                let (account, id) = (CustomerId::from(&*text(ACCOUNT)), RequestId::from(&*text(ID)));
                 // The command goes on in the buffer that it came in; what follows it moves to a new one.
-                let mut rest = Buffer::take();
-                rest[..end - start].copy_from_slice(&buffer[start..end]);
-                let came = std::mem::replace(&mut buffer, rest);
-                (start, end) = (0, end - start);
-                match self.understand(number, came, words, arrived, slot) {
-                    Ok(request) => desk.ask(request),
-                    Err((slot, fault)) => _ = slot.send(Reply::words(fault)),
+                let mut rest = Buffer::none();
+                if start < end {
+                    rest = Buffer::take();
+                    rest[..end - start].copy_from_slice(&buffer[start..end]);
                 }
+                let buffer = std::mem::replace(&mut buffer, rest);
+                (start, end) = (0, end - start);
+                let Asked { class, plan, budget, units, spread, first, wait } = asked;
+                desk.ask(Incoming {
+                    number,
+                    id: Some(id),
+                    arrived,
+                    budget,
+                    class,
+                    plan,
+                    account,
+                    units,
+                    spread,
+                    first,
+                    client,
+                    call: PlatformCall { buffer, words, wait },
+                });
+            }
+            if start < end {
+                buffer.copy_within(start..end, 0);
+                desk.half();
+            } else {
+                buffer = Buffer::none();
             }
-            buffer.copy_within(start..end, 0);
             end -= start;
         }
     }
 
+    fn dismissal(&self, why: Dismissal) -> ((), Vec<u8>) {
+        ((), format!("-ERR {}\r\n", why.words()).into_bytes())
+    }
+
     fn write(&self, mut to: &TcpStream, (): (), answer: Answer<Served>) -> io::Result<bool> {
         match answer {
             Answer::Served(Served { buffer, value }) => {
@@ -94,10 +158,7 @@
 /// Nothing after a malformed command can be told apart: the agent is told so, and the connection ends once what
 /// was asked before is answered.
 fn malformed(desk: &Desk<Agents>, fault: &str) {
-    info!(desk.log(), "malformed command"; "fault" => fault);
-    if let Some((_, slot)) = desk.place(()) {
-        _ = slot.send(Reply::last(format!("-ERR {fault}\r\n")));
-    }
+    desk.say_last((), format!("-ERR {fault}\r\n").into_bytes(), fault);
 }
 
 fn word(word: &[u8], ready: bool) -> Reply<Served> {
@@ -109,20 +170,24 @@
 }
 
 impl Agents {
-    fn understand(
-        &self,
-        number: u64,
-        buffer: Buffer,
-        words: Vec<Range<usize>>,
-        arrived: Instant,
-        slot: Slot<Served>,
-    ) -> Result<Incoming<Wiring<PlatformSpeech>>, Refused> {
-        let word = |at: usize| std::str::from_utf8(&buffer[words[at].clone()]).unwrap_or("");
-        if !["SVC.QUERY", "SVC.SUBMIT"].iter().any(|c| word(0).eq_ignore_ascii_case(c)) || words.len() > 5 {
-            return Err((slot, "-ERR unknown command\r\n"));
+    /// Finds out what a command asks for, or what is wrong with it.
+    ///
+    /// Guards against commands under a usual account's name that no agent of ours would send: the decision module
+    /// is not to see their plan, units or limiters, nor a ticket node the rest.
+    fn understand(&self, bytes: &[u8], words: &[Range<usize>]) -> Result<Asked, &'static str> {
+        let word = |at: usize| std::str::from_utf8(&bytes[words[at].clone()]).unwrap_or("");
+        let submit = word(0).eq_ignore_ascii_case("SVC.SUBMIT");
+        if !(submit || word(0).eq_ignore_ascii_case("SVC.QUERY")) || words.len() > 5 {
+            return Err("unknown command");
         }
-        let (mut class, mut plan, mut budget, mut wait) = (None, None, None, 0..0);
-        let (mut units, mut spread, mut first) = (Some(1.0), Some(1), Some(0));
+        if !is_account(word(ACCOUNT)) {
+            return Err("bad account");
+        }
+        if !is_name(word(ID)) {
+            return Err("bad id");
+        }
+        let (mut class, mut plan, mut budget, mut wait, mut key) = (None, None, None, 0..0, None);
+        let (mut units, mut spread, mut first) = (None, None, None);
         let mut at = words[FIELDS].start;
         for field in word(FIELDS).split(',') {
             if let Some((name, value)) = field.split_once('=') {
@@ -130,42 +195,42 @@
                     "c" => class = self.names.class(value),
                     "t" => plan = self.names.plan(value),
                     "d" => {
-                        budget = Some(value.parse().ok());
+                        budget = value.parse().ok().filter(|wait| *wait > 0);
                         wait = at + 2..at + field.len();
                     }
-                    "units" => units = value.parse().ok().filter(|u: &f64| u.is_finite() && *u >= 0.0),
-                    "spread" => spread = value.parse().ok(),
-                    "first" => first = value.parse().ok(),
+                    "k" => key = Some(value),
+                    "units" => units = value.parse().ok().filter(|u: &f64| *u > 0.0 && *u <= self.most_units),
+                    "spread" => spread = value.parse().ok().filter(|s| (1..=self.limiters).contains(s)),
+                    "first" => first = value.parse().ok().filter(|f| *f < self.limiters),
                     _ => {}
                 }
             }
             at += field.len() + 1;
         }
-        let Some(class) = class else { return Err((slot, "-ERR unknown class\r\n")) };
-        let Some(plan) = plan else { return Err((slot, "-ERR unknown plan\r\n")) };
+        let class = class.ok_or("unknown class")?;
+        let plan = plan.ok_or("unknown plan")?;
         let (Some(units), Some(spread), Some(first)) = (units, spread, first) else {
-            return Err((slot, "-ERR bad units, spread or first\r\n"));
-        };
-        let longest = self.deadlines.get(class).copied().unwrap_or_default();
-        let budget = match budget {
-            None => longest,
-            Some(Some(wait)) => Duration::from_millis(wait).min(longest),
-            Some(None) => return Err((slot, "-ERR bad d\r\n")),
+            return Err("bad units, spread or first");
         };
-        let account = CustomerId::from(word(1));
-        let call = PlatformCall { buffer, words, wait };
-        Ok(Incoming {
-            number,
-            arrived,
-            budget,
-            class,
-            plan,
-            account,
-            units,
-            spread,
-            first,
-            client: slot,
-            call,
-        })
+        let (longest, effect) = self.classes.get(class).copied().ok_or("unknown class")?;
+        if submit == (effect == Effect::Safe) {
+            return Err("the class goes with the other command");
+        }
+        if matches!(effect, Effect::Keyed(_)) && !key.is_some_and(is_name) {
+            return Err("bad k");
+        }
+        let budget = Duration::from_millis(budget.ok_or("bad d")?).min(longest);
+        Ok(Asked { class, plan, budget, units, spread, first, wait })
     }
 }
+
+/// 16 hex digits, a number below 2^33.
+fn is_account(text: &str) -> bool {
+    let digits = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    digits && u64::from_str_radix(text, 16).is_ok_and(|n| n < 1 << 33)
+}
+
+/// What an id or a key can be made of.
+fn is_name(text: &str) -> bool {
+    (1..=64).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic())
+}
--- a/src/net/count_lines.rs
+++ b/src/net/count_lines.rs
@@ -7,6 +7,7 @@
 use std::collections::VecDeque;
 use std::io::{self, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -16,7 +17,7 @@
 /// be in doubt, so one idle for this long is not used again.
 const IDLE: Duration = Duration::from_secs(3);
 /// An answer that takes longer than this holds up all behind it: the line is given up for a new one.
-const STUCK: Duration = Duration::from_millis(500);
+const STUCK: Duration = Duration::from_millis(250);
 const CONNECT: Duration = Duration::from_millis(50);
 
 /// Takes the end of a call: its number, how it ended, the total.
@@ -24,9 +25,10 @@
 
 /// How calls are worded, and their answers read.
 pub trait CountSpeech: Send + Sync + 'static {
-    /// A call as it is written.
-    fn word(&self, addition: &Addition) -> Vec<u8>;
-    /// Reads answers and hands each to `told`, until that is false or the connection can't go on.
+    /// A call as it is written to the counter at this address.
+    fn word(&self, addition: &Addition, to: SocketAddr) -> Vec<u8>;
+    /// Reads answers and hands each to `told`, until that is false or the connection can't go on, as after an answer
+    /// that can't be read: what follows it may belong to no call.
     fn read(&self, from: &TcpStream, told: &mut dyn FnMut(Outcome, f64) -> bool);
 }
 
@@ -42,9 +44,16 @@
     pub ttl: Duration,
 }
 
+/// What a line is told to do.
+enum Job {
+    Add(Addition),
+    Move(SocketAddr),
+}
+
 /// The way to a counter.
+#[derive(Clone)]
 pub struct CountLines {
-    lines: Vec<Sender<Addition>>,
+    lines: Vec<Sender<Job>>,
 }
 
 impl CountLines {
@@ -57,10 +66,10 @@
     ) -> io::Result<Self> {
         let speech: Arc<dyn CountSpeech> = Arc::new(speech);
         let line = |_| {
-            let (sender, additions) = unbounded();
+            let (sender, jobs) = unbounded();
             let writer =
                 Writer { at, speech: speech.clone(), counted: counted.clone(), log: log.clone(), line: None };
-            spawn("count-write", move || writer.run(&additions))?;
+            spawn("count-write", move || writer.run(&jobs))?;
             Ok(sender)
         };
         Ok(Self { lines: (0..LINES).map(line).collect::<io::Result<_>>()? })
@@ -69,7 +78,12 @@
     /// Adds to a count. The end of the call is told later, and may be told after the core gave it up.
     pub fn add(&self, addition: Addition) {
         // A writer ends with the program alone.
-        _ = self.lines[addition.name as usize % LINES].send(addition);
+        _ = self.lines[addition.name as usize % LINES].send(Job::Add(addition));
+    }
+
+    /// Calls the counter at another address from now on; answers still due from the old one are taken.
+    pub fn move_to(&self, at: SocketAddr) {
+        self.lines.iter().for_each(|line| _ = line.send(Job::Move(at)));
     }
 }
 
@@ -77,6 +91,8 @@
 struct Line {
     stream: TcpStream,
     waiting: Mutex<VecDeque<(u64, Instant)>>,
+    /// No further call is written: it ends with the last answer due.
+    left: AtomicBool,
 }
 
 impl Line {
@@ -88,8 +104,11 @@
 
     fn read(&self, speech: &dyn CountSpeech, counted: &Counted) {
         speech.read(&self.stream, &mut |outcome, total| {
-            let call = lock(&self.waiting).pop_front();
-            call.map(|(call, _)| counted(call, outcome, total)).is_some()
+            let (call, more) = {
+                let mut waiting = lock(&self.waiting);
+                (waiting.pop_front(), !waiting.is_empty() || !self.left.load(Ordering::SeqCst))
+            };
+            call.map(|(call, _)| counted(call, outcome, total)).is_some() && more
         });
         self.close();
         // Written and never answered: each may have been added.
@@ -98,6 +117,15 @@
         }
     }
 
+    /// Takes what is still due and ends.
+    fn leave(&self) {
+        let waiting = lock(&self.waiting);
+        self.left.store(true, Ordering::SeqCst);
+        if waiting.is_empty() {
+            self.close();
+        }
+    }
+
     fn close(&self) {
         _ = self.stream.shutdown(Shutdown::Both);
     }
@@ -113,9 +141,19 @@
 }
 
 impl Writer {
-    fn run(mut self, additions: &Receiver<Addition>) {
+    fn run(mut self, jobs: &Receiver<Job>) {
         let (mut last, mut failing) = (Instant::now(), false);
-        for addition in additions {
+        for job in jobs {
+            let addition = match job {
+                Job::Add(addition) => addition,
+                Job::Move(at) => {
+                    self.at = at;
+                    if let Some(line) = self.line.take() {
+                        line.leave();
+                    }
+                    continue;
+                }
+            };
             if let Some(unfit) = self.line.take_if(|l| !l.fit(last)) {
                 unfit.close();
             }
@@ -142,7 +180,7 @@
         let stream = TcpStream::connect_timeout(&self.at, CONNECT)?;
         stream.set_nodelay(true)?;
         stream.set_write_timeout(Some(STUCK))?;
-        let line = Arc::new(Line { stream, waiting: Mutex::new(VecDeque::new()) });
+        let line = Arc::new(Line { stream, waiting: Mutex::default(), left: AtomicBool::new(false) });
         let (reader, speech, counted) = (line.clone(), self.speech.clone(), self.counted.clone());
         spawn("count-read", move || reader.read(&*speech, &counted))?;
         self.line = Some(line.clone());
@@ -152,7 +190,7 @@
     fn write(&mut self, line: &Line, addition: &Addition, now: Instant) {
         // Before it is written, or its answer could come first.
         lock(&line.waiting).push_back((addition.call, now));
-        if (&line.stream).write_all(&self.speech.word(addition)).is_ok() {
+        if (&line.stream).write_all(&self.speech.word(addition, self.at)).is_ok() {
             return;
         }
         // Not written whole: nothing was added, unless the reader has told of it as in doubt already.
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,15 +1,20 @@
 //! A front: connections of agents, and answers in the order of what was asked.
 //!
-//! Each connection has a thread that reads and one that writes. A slot for the answer of each command goes
-//! from the one to the other in order, so a slow or broken agent holds up its own connection alone. What the
-//! connections speak is a [`Manner`].
+//! Each connection has a thread that reads and, from its first request on, one that writes. A slot for the answer
+//! of each command goes from the one to the other in order, so a slow or broken agent holds up its own connection
+//! alone. What the connections speak is a [`Manner`].
+//!
+//! One more thread watches over all connections: what never completes a command, or is held for good after its
+//! last answer, is closed, and whoever sends what can't be read is not kept waiting behind an answer.
 
 use super::ticket_nodes::Speech;
 use super::wiring::{Queue, Wiring};
 use super::{lock, spawn};
+use crate::hush::Hush;
 use crate::limiter::{Answer, Incoming, Input};
-use crossbeam_channel::{bounded, Receiver, Sender};
-use slog::{warn, Logger};
+use crossbeam_channel::{bounded, unbounded, Receiver, Sender};
+use slog::{info, warn, Logger};
+use std::cell::OnceCell;
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -18,14 +23,26 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Commands of one connection that wait for their answers; an agent that writes more has to wait.
+/// Commands of one connection that wait for their answers; an agent that writes more has gone too far.
 const PIPELINED: usize = 64;
 /// An agent that does not read its answers for so long is dropped.
-const WRITE_WAIT: Duration = Duration::from_secs(5);
+const WRITE_WAIT: Duration = Duration::from_secs(2);
 /// Time for an agent to read its last answer before the connection is closed under it.
-const LINGER: Duration = Duration::from_secs(1);
+const LINGER: Duration = Duration::from_millis(300);
+/// Read beyond what ended a connection, so that its last words are not lost to a reset; no more than that, as
+/// some agents have 60 MB to send.
+const DRAINED: usize = 128 * 1024;
 /// Wait after a failed accept, as when descriptors run out.
 const ACCEPT_WAIT: Duration = Duration::from_millis(20);
+/// A command is to be whole by then, counted from the connection or, later, from its first byte; what can't be
+/// read is answered by then too. An agent is owed that within 3 s of connecting.
+const PATIENCE: Duration = Duration::from_millis(2_200);
+/// A connection that has nothing open for so long is closed. After 2 s it may be.
+const IDLE: Duration = Duration::from_millis(3_000);
+/// Between two looks at the connections, while there are any.
+const WATCH: Duration = Duration::from_millis(200);
+/// A new connection waits so long for another to end when all are busy.
+const ROOM_WAIT: Duration = Duration::from_millis(100);
 
 /// What the connections of a front speak.
 pub trait Manner: Send + Sync + Sized + 'static {
@@ -35,6 +52,8 @@
     type Shape: Send + 'static;
     /// Reads commands until the agent goes away or nothing more is to be taken from it.
     fn read(&self, stream: &TcpStream, desk: &Desk<Self>);
+    /// The last words to an agent whose connection is ended.
+    fn dismissal(&self, why: Dismissal) -> (Self::Shape, Vec<u8>);
     /// Writes an answer; false if the connection is to end after it.
     fn write(
         &self,
@@ -44,6 +63,25 @@
     ) -> io::Result<bool>;
 }
 
+/// Why a connection is ended while the agent may still read.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Dismissal {
+    /// No whole command came in time.
+    TooSlow,
+    /// More commands came at once than may wait for their answers.
+    TooMany,
+}
+
+impl Dismissal {
+    /// In words.
+    pub fn words(self) -> &'static str {
+        match self {
+            Self::TooSlow => "no whole command in time",
+            Self::TooMany => "too many commands at once",
+        }
+    }
+}
+
 /// Where the answer of a request goes; without one, the agent is told that the request failed.
 pub type Slot<V> = Sender<Reply<V>>;
 
@@ -65,11 +103,6 @@
     pub fn words(text: &str) -> Self {
         Self::Words { text: text.into(), last: false }
     }
-
-    /// The front's last words.
-    pub fn last(text: String) -> Self {
-        Self::Words { text: text.into_bytes(), last: true }
-    }
 }
 
 type ValueOf<M> = <<M as Manner>::Speech as Speech>::Value;
@@ -88,7 +121,11 @@
     links: Mutex<HashMap<u64, Arc<Link>>>,
     /// A connection has ended.
     freed: Condvar,
+    /// There is a connection to watch over.
+    opened: Condvar,
     log: Logger,
+    complaints: Hush,
+    full: Hush,
 }
 
 /// A connection of an agent.
@@ -104,26 +141,115 @@
     owed: usize,
     /// Nothing that is read from now on is taken.
     closed: bool,
+    /// A whole command has come.
+    asked: bool,
+    /// Since when the connection waits for a command to become whole.
+    half: Option<Instant>,
+    /// What can't be read has come: whatever is still open by then is failed.
+    spoilt: Option<Instant>,
+    opened: Instant,
     idle_since: Instant,
 }
 
 /// What the reader of a connection hands its commands to.
 pub struct Desk<'a, M: Manner> {
-    front: &'a Front<M>,
-    link: &'a Link,
-    slots: Sender<Owed<M>>,
+    front: &'a Arc<Front<M>>,
+    link: &'a Arc<Link>,
+    number: u64,
+    /// To the writer, once there is one, and the sign that the reader has come to its end.
+    writer: OnceCell<(Sender<Owed<M>>, Sender<()>)>,
 }
 
 impl<M: Manner> Desk<'_, M> {
-    /// Takes the next place in the order of answers; none if the connection is closing, and what was read is
-    /// not taken.
+    /// Takes the next place in the order of answers for a request; none if the connection is closing, and what was
+    /// read is not taken.
     pub fn place(&self, shape: M::Shape) -> Option<(u64, Slot<ValueOf<M>>)> {
         let (slot, answer) = bounded(1);
         let number = self.front.numbers.fetch_add(1, Ordering::Relaxed);
-        if !self.link.begin() || self.slots.send((number, shape, answer)).is_err() {
+        if self.link.begin()? > PIPELINED {
+            self.dismiss(Dismissal::TooMany);
             return None;
         }
-        Some((number, slot))
+        (self.writer()?.send((number, shape, answer)).is_ok()).then_some((number, slot))
+    }
+
+    /// Says the front's own words in their place; false if the connection is closing.
+    pub fn say(&self, shape: M::Shape, words: Reply<ValueOf<M>>) -> bool {
+        match self.link.begin() {
+            None => false,
+            Some(owed) if owed > PIPELINED => {
+                self.dismiss(Dismissal::TooMany);
+                false
+            }
+            Some(_) => self.put(shape, words),
+        }
+    }
+
+    /// Says the last words: what comes after can't be told apart or is not wanted. Whatever was asked before is
+    /// answered first, but not for longer than an agent may be kept waiting for these.
+    pub fn say_last(&self, shape: M::Shape, words: Vec<u8>, fault: &str) {
+        if self.link.begin().is_some() {
+            self.last(shape, words, fault);
+        }
+    }
+
+    fn dismiss(&self, why: Dismissal) {
+        let (shape, words) = self.front.manner.dismissal(why);
+        self.last(shape, words, why.words());
+    }
+
+    fn last(&self, shape: M::Shape, text: Vec<u8>, fault: &str) {
+        self.complain(fault);
+        let mut state = lock(&self.link.state);
+        state.closed = true;
+        state.spoilt = Some(state.opened + PATIENCE);
+        drop(state);
+        self.put(shape, Reply::Words { text, last: true });
+    }
+
+    /// Without a writer, or with nothing before them, words are written at once.
+    fn put(&self, shape: M::Shape, words: Reply<ValueOf<M>>) -> bool {
+        let closing = self.front.closing.load(Ordering::SeqCst);
+        match (self.writer.get(), words) {
+            (Some((slots, _)), words) => {
+                let (slot, answer) = bounded(1);
+                _ = slot.send(words);
+                slots.send((0, shape, answer)).is_ok()
+            }
+            (None, Reply::Words { text, last }) => {
+                (&self.link.stream).write_all(&text).is_ok() && self.link.end(0, closing) && !last
+            }
+            (None, Reply::Answer(_)) => false,
+        }
+    }
+
+    /// A command has begun and is not whole.
+    pub fn half(&self) {
+        lock(&self.link.state).half.get_or_insert_with(Instant::now);
+    }
+
+    fn writer(&self) -> Option<&Sender<Owed<M>>> {
+        if self.writer.get().is_none() {
+            // The places are bounded by what may be owed.
+            let (slots, owed) = unbounded();
+            let (reads, read_out) = bounded(0);
+            let (front, link, number) = (self.front.clone(), self.link.clone(), self.number);
+            let begun = spawn("agent-write", move || {
+                if front.write(&link, &owed) {
+                    // The agent is told by the end of sending, and gets a moment to read what it was told.
+                    _ = link.stream.shutdown(Shutdown::Write);
+                    _ = read_out.recv_timeout(LINGER);
+                }
+                // Ends the reader too, which tells of what is still open.
+                front.end(number, &link);
+            });
+            if let Err(fault) = begun {
+                warn!(self.front.log, "agent connection dropped"; "fault" => %fault);
+                return None;
+            }
+            _ = self.writer.set((slots, reads));
+        }
+        self.writer.get().map(|(slots, _)| slots)
     }
 
     /// Passes a request to the core.
@@ -137,9 +263,11 @@
         self.front.ready.load(Ordering::Relaxed)
     }
 
-    /// For the front's log lines.
-    pub fn log(&self) -> &Logger {
-        &self.front.log
+    /// Logs what is wrong with an agent's input, but not every time.
+    pub fn complain(&self, fault: &str) {
+        if let Some(more) = self.front.complaints.due() {
+            info!(self.front.log, "malformed command"; "fault" => fault, "unlogged" => more);
+        }
     }
 }
 
@@ -155,7 +283,10 @@
             numbers: AtomicU64::new(0),
             links: Mutex::default(),
             freed: Condvar::new(),
+            opened: Condvar::new(),
             log,
+            complaints: Hush::default(),
+            full: Hush::default(),
         })
     }
 
@@ -165,6 +296,8 @@
         let bound = listener.local_addr()?;
         let front = self.clone();
         spawn("agents", move || front.accept(&listener))?;
+        let front = self.clone();
+        spawn("agents-watch", move || front.watch())?;
         Ok(bound)
     }
 
@@ -191,7 +324,9 @@
         loop {
             match listener.accept() {
                 Ok((stream, _)) => {
-                    self.make_room();
+                    if !self.make_room() {
+                        continue;
+                    }
                     if let Err(fault) = self.serve(stream) {
                         warn!(self.log, "agent connection dropped"; "fault" => %fault);
                     }
@@ -204,67 +339,125 @@
         }
     }
 
-    /// Keeps within the descriptors: the connection idle longest goes, else the new one waits for an end.
-    fn make_room(&self) {
+    /// Keeps within the descriptors: of the connections that owe nothing, the oldest goes that never asked for
+    /// anything, else the one idle longest. False if all are busy: the new one is closed then, as one that waits
+    /// would hold up all behind it.
+    ///
+    /// Guards against floods of connections that say nothing: they push out each other.
+    fn make_room(&self) -> bool {
+        let began = Instant::now();
         let mut links = lock(&self.links);
         while links.len() >= self.most {
-            let idle = |l: &Arc<Link>| {
+            let idle = |l: &Link| {
                 let state = lock(&l.state);
-                (state.owed == 0 && !state.closed).then_some(state.idle_since)
+                (state.owed == 0 && !state.closed).then_some((state.asked, state.idle_since))
             };
-            let oldest = links.values().filter_map(|l| Some((idle(l)?, l.clone()))).min_by_key(|(at, _)| *at);
-            match oldest {
-                Some((_, link)) => link.close_if_idle(),
-                None => warn!(self.log, "agent connections full"; "open" => links.len()),
+            let oldest = links.values().filter_map(|l| Some((idle(l)?, l))).min_by_key(|(at, _)| *at);
+            if let Some((_, link)) = oldest {
+                link.close_if_idle();
+            } else if began.elapsed() >= ROOM_WAIT {
+                if let Some(more) = self.full.due() {
+                    warn!(self.log, "agent connections full"; "open" => links.len(), "unlogged" => more);
+                }
+                return false;
+            }
+            links = self.freed.wait_timeout(links, ROOM_WAIT).unwrap_or_else(PoisonError::into_inner).0;
+        }
+        true
+    }
+
+    /// Closes what has been kept waiting, or keeps others waiting, for too long.
+    fn watch(&self) {
+        let mut links = lock(&self.links);
+        loop {
+            let waited = self.opened.wait_while(links, |links| links.is_empty());
+            drop(waited);
+            thread::sleep(WATCH);
+            links = lock(&self.links);
+            let now = Instant::now();
+            for link in links.values() {
+                let left = link.look(now);
+                left.into_iter().for_each(|number| _ = self.queue.send(Input::Left(number)));
             }
-            let waited = self.freed.wait_timeout(links, Duration::from_secs(1));
-            links = waited.unwrap_or_else(PoisonError::into_inner).0;
         }
     }
 
     fn serve(self: &Arc<Self>, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         stream.set_write_timeout(Some(WRITE_WAIT))?;
-        let state = LinkState { waiting: Vec::new(), owed: 0, closed: false, idle_since: Instant::now() };
+        let now = Instant::now();
+        let state = LinkState {
+            waiting: Vec::new(),
+            owed: 0,
+            closed: false,
+            asked: false,
+            half: Some(now),
+            spoilt: None,
+            opened: now,
+            idle_since: now,
+        };
         let link = Arc::new(Link { stream, state: Mutex::new(state) });
         let number = self.numbers.fetch_add(1, Ordering::Relaxed);
-        let (slots, owed) = bounded(PIPELINED);
         lock(&self.links).insert(number, link.clone());
+        self.opened.notify_one();
         if self.closing.load(Ordering::SeqCst) {
             link.close_if_idle();
         }
         let (front, reading) = (self.clone(), link.clone());
-        let (reads, read_out) = bounded::<()>(0);
-        let begun = spawn("agent-read", move || {
-            let desk = Desk { front: &front, link: &reading, slots };
-            front.manner.read(&reading.stream, &desk);
-            drop(desk);
-            // Up to the end: to close with bytes unread would reset the connection under its last answer.
-            while matches!((&reading.stream).read(&mut [0; 512]), Ok(1..)) {}
-            front.left(&reading);
-            drop(reads);
-        });
-        let (front, writing) = (self.clone(), link.clone());
-        let begun = begun.and_then(|()| {
-            spawn("agent-write", move || {
-                if front.write(&writing, &owed) {
-                    // The agent is told by the end of sending, and gets a moment to read what it was told.
-                    _ = writing.stream.shutdown(Shutdown::Write);
-                    _ = read_out.recv_timeout(LINGER);
-                }
-                // Ends the reader too, which tells of what is still open.
-                writing.close();
-                lock(&front.links).remove(&number);
-                front.freed.notify_all();
-            })
-        });
+        let begun = spawn("agent-read", move || front.read(number, &reading));
         if begun.is_err() {
-            lock(&self.links).remove(&number);
-            link.close();
+            self.end(number, &link);
         }
         begun
     }
 
+    fn read(self: &Arc<Self>, number: u64, link: &Arc<Link>) {
+        let desk = Desk { front: self, link, number, writer: OnceCell::new() };
+        self.manner.read(&link.stream, &desk);
+        if lock(&link.state).half.is_some_and(|since| since.elapsed() >= PATIENCE) {
+            // The watch has ended the reading.
+            if link.begin().is_some() {
+                desk.dismiss(Dismissal::TooSlow);
+            }
+        }
+        let writer = desk.writer.into_inner();
+        let by_choice = lock(&link.state).spoilt.is_some();
+        if by_choice && writer.is_none() {
+            _ = link.stream.shutdown(Shutdown::Write);
+            _ = link.stream.set_read_timeout(Some(LINGER));
+        }
+        let writes = writer.map(|(slots, reads)| {
+            // The writer ends once all that is owed is written.
+            drop(slots);
+            reads
+        });
+        // Up to the end: to close with bytes unread would reset the connection under its last answer.
+        let (mut part, mut drained) = ([0; 4 * 1024], 0);
+        let gone = loop {
+            match (&link.stream).read(&mut part) {
+                Err(fault) if fault.kind() == io::ErrorKind::Interrupted => {}
+                Ok(0) | Err(_) => break true,
+                Ok(read) => drained += read,
+            }
+            if drained > DRAINED {
+                break false;
+            }
+        };
+        if gone {
+            self.left(link);
+        }
+        if writes.is_none() {
+            self.end(number, link);
+        }
+    }
+
+    /// Closes a connection, and lets another take its place.
+    fn end(&self, number: u64, link: &Link) {
+        link.close();
+        lock(&self.links).remove(&number);
+        self.freed.notify_all();
+    }
+
     /// The agent has gone away: nobody waits for what is still open.
     fn left(&self, link: &Link) {
         let mut state = lock(&link.state);
@@ -292,21 +485,45 @@
 }
 
 impl Link {
-    /// A command has been read; false if the connection is closing and the command is not taken.
-    fn begin(&self) -> bool {
+    /// A command has been read; how many are owed an answer with it, or none if the connection is closing and the
+    /// command is not taken.
+    fn begin(&self) -> Option<usize> {
         let mut state = lock(&self.state);
-        state.owed += usize::from(!state.closed);
-        !state.closed
+        if state.closed {
+            return None;
+        }
+        (state.owed, state.asked, state.half) = (state.owed + 1, true, None);
+        Some(state.owed)
     }
 
     /// The first command still owed has been answered; false if the connection is to end.
     fn end(&self, number: u64, closing: bool) -> bool {
         let mut state = lock(&self.state);
         state.waiting.retain(|n| *n != number);
-        state.owed -= 1;
+        state.owed = state.owed.saturating_sub(1);
         state.idle_since = Instant::now();
         state.closed |= closing && state.owed == 0;
-        !state.closed
+        !state.closed || (state.spoilt.is_some() && state.owed > 0)
+    }
+
+    /// Closes the connection if it has waited for too long; else says which requests are to be given up, as what
+    /// stands behind them can't wait.
+    fn look(&self, now: Instant) -> Vec<u64> {
+        let mut state = lock(&self.state);
+        if state.spoilt.is_some_and(|by| now >= by) {
+            return std::mem::take(&mut state.waiting);
+        }
+        if state.closed {
+            return Vec::new();
+        }
+        if state.half.is_some_and(|since| now >= since + PATIENCE) {
+            // The reader comes to its end, says so and closes.
+            _ = self.stream.shutdown(Shutdown::Read);
+        } else if state.half.is_none() && state.owed == 0 && now >= state.idle_since + IDLE {
+            state.closed = true;
+            _ = self.stream.shutdown(Shutdown::Both);
+        }
+        Vec::new()
     }
 
     fn close_if_idle(&self) {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -94,7 +94,7 @@
 impl<R: Read> Reader<R> {
     /// A reader at the start of a message.
     pub fn new(from: R) -> Self {
-        Self { from, buffer: Buffer::take(), start: 0, end: 0 }
+        Self { from, buffer: Buffer::none(), start: 0, end: 0 }
     }
 
     /// Reads more; false at the end of the connection.
@@ -106,7 +106,7 @@
         if self.end == SIZE {
             return Err(Broken::TooLarge);
         }
-        let read = self.from.read(&mut self.buffer[self.end..])?;
+        let read = self.buffer.read(self.end, &mut self.from)?;
         self.end += read;
         Ok(read > 0)
     }
@@ -123,6 +123,10 @@
         &mut self,
         parse: impl Fn(&[u8]) -> Result<Option<(usize, T)>, Broken>,
     ) -> Result<T, Broken> {
+        if self.start == self.end {
+            // Given back between two messages.
+            (self.buffer, self.start, self.end) = (Buffer::none(), 0, 0);
+        }
         loop {
             if self.start < self.end {
                 if let Some((length, said)) = parse(&self.buffer[self.start..self.end])? {
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -5,25 +5,41 @@
 use super::node_calls::PlatformSpeech;
 use super::node_list;
 use super::quota_counter::QuotaCounter;
-use super::wiring::Limiter;
+use super::wiring::{Limiter, Reload};
 use crate::config::Platform;
-use slog::{o, Logger};
+use slog::{info, o, warn, Logger};
 use std::io;
 use std::time::Duration;
 
-/// Starts a limiter on the platform, all but its core.
-pub fn start(config: Platform, log: &Logger) -> io::Result<Limiter<Agents>> {
-    let classes = &config.common.settings.classes;
-    let deadlines = classes.iter().map(|c| Duration::from_micros(c.deadline)).collect();
-    let agents = Agents { names: config.names, deadlines };
+/// Starts a limiter on the platform, all but its core. The second is what a new configuration is given to.
+pub fn start(config: Platform, log: &Logger) -> io::Result<(Limiter<Agents>, Reload<Platform>)> {
+    let settings = &config.common.settings;
+    let classes = settings.classes.iter().map(|c| (Duration::from_micros(c.deadline), c.effect)).collect();
+    let (limiters, most_units) = (settings.gateways, config.most_units);
+    let agents = Agents { names: config.names, classes, most_units, limiters };
     let speech = PlatformSpeech(config.load_fields);
     let generation = config.common.known.generation;
+    let (mut list_at, mut counter_at) = (config.node_list, config.quota_counter);
     let counter_log = log.new(o!("part" => "counter"));
-    let counter = |counted| match config.quota_counter {
-        Some(at) => CountLines::start(at, QuotaCounter(at), counted, &counter_log).map(Some),
+    let counter = |counted| match counter_at {
+        Some(at) => CountLines::start(at, QuotaCounter, counted, &counter_log).map(Some),
         None => Ok(None),
     };
     let limiter = Limiter::start(config.common, agents, speech, counter, log)?;
-    node_list::watch(config.node_list, generation, limiter.news(), log.new(o!("part" => "node-list")))?;
-    Ok(limiter)
+    let list_log = log.new(o!("part" => "node-list"));
+    let watch = node_list::watch(list_at, generation, limiter.news(), list_log)?;
+    let (lines, log) = (limiter.count_lines(), log.clone());
+    let reload = move |config: Platform| {
+        if config.node_list != list_at {
+            watch.move_to(config.node_list);
+        }
+        match (&lines, config.quota_counter) {
+            (Some(lines), Some(at)) if counter_at != Some(at) => lines.move_to(at),
+            (None, Some(_)) => warn!(log, "counter taken up at the next start alone"),
+            _ => {}
+        }
+        (list_at, counter_at) = (config.node_list, config.quota_counter.or(counter_at));
+        info!(log, "configuration read again"; "discovery" => %list_at, "counter" => ?counter_at);
+    };
+    Ok((limiter, Box::new(reload)))
 }
--- a/src/net/redis_counter.rs
+++ b/src/net/redis_counter.rs
@@ -2,10 +2,11 @@
 
 use super::buffers::{Buffer, SIZE};
 use super::count_lines::{Addition, CountSpeech};
+use super::quota_counter::total;
 use super::resp::{self, Reply};
 use crate::interface::Outcome;
 use std::io::Read;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 
 /// What a Redis server speaks.
 pub struct RedisCounter;
@@ -16,7 +17,7 @@
 impl CountSpeech for RedisCounter {
     /// `SET … NX` opens a new name with its life, which later calls leave alone; the transaction keeps another
     /// limiter's call from falling between it and the addition.
-    fn word(&self, Addition { name, by, ttl, .. }: &Addition) -> Vec<u8> {
+    fn word(&self, Addition { name, by, ttl, .. }: &Addition, _: SocketAddr) -> Vec<u8> {
         let (key, by) = (format!("mossrill:count:{name}"), by.to_string());
         let ttl = ttl.as_millis().max(1).to_string();
         let mut text = Vec::new();
@@ -39,7 +40,7 @@
                         seen += 1;
                         if seen % REPLIES == 0 {
                             let (outcome, total) = executed(&buffer, &reply);
-                            if !told(outcome, total) {
+                            if !told(outcome, total) || outcome == Outcome::Timeout {
                                 return;
                             }
                         }
@@ -59,10 +60,9 @@
 fn executed(bytes: &[u8], reply: &Reply) -> (Outcome, f64) {
     match reply {
         Reply::Array(Some(results)) => match results.last() {
-            Some(Reply::Bulk(Some(total))) => {
-                let total = std::str::from_utf8(&bytes[total.clone()]).ok().and_then(|t| t.parse().ok());
-                // Added, but to what is not told.
-                total.map_or((Outcome::Timeout, 0.0), |total: f64| (Outcome::Ok, total))
+            Some(Reply::Bulk(Some(total_at))) => {
+                // Else added, but to what is not told.
+                total(&bytes[total_at.clone()]).map_or((Outcome::Timeout, 0.0), |total| (Outcome::Ok, total))
             }
             // The addition itself failed, as where the name holds something else.
             Some(Reply::Error(_)) => (Outcome::ConnectFailed, 0.0),
--- a/src/net/ticket_nodes.rs
+++ b/src/net/ticket_nodes.rs
@@ -3,6 +3,7 @@
 use super::wiring::Queue;
 use super::{lock, spawn};
 use crate::config::{Links, NodeNews};
+use crate::hush::Hush;
 use crate::interface::{Outcome, Readiness, ServerId};
 use crate::limiter::{AttemptId, Input};
 use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
@@ -71,6 +72,7 @@
     speech: S,
     queue: Queue<S>,
     log: Logger,
+    full: Hush,
 }
 
 struct Book<C> {
@@ -98,6 +100,7 @@
 
 #[derive(Default)]
 struct LineState {
+    /// There once writing has begun.
     stream: Option<Arc<TcpStream>>,
     cancelled: bool,
 }
@@ -111,7 +114,7 @@
     /// Ticket nodes, none known yet; `most` connections to all of them together.
     pub fn new(links: Links, most: usize, speech: S, queue: Queue<S>, log: Logger) -> Self {
         let book = Mutex::new(Book { nodes: HashMap::new(), running: HashMap::new(), lines: 0 });
-        Self { shared: Arc::new(Shared { book, links, most, speech, queue, log }) }
+        Self { shared: Arc::new(Shared { book, links, most, speech, queue, log, full: Hush::default() }) }
     }
 
     /// Takes news of the node list. A node that is gone or absent from a full list loses its idle connections.
@@ -143,14 +146,16 @@
         }
     }
 
-    /// Gives an attempt up by closing its connection, which tells the node.
-    pub fn cancel(&self, attempt: AttemptId) {
-        let Some(line) = lock(&self.shared.book).running.remove(&attempt) else { return };
+    /// Gives an attempt up by closing its connection, which tells the node. False if nothing of it was written:
+    /// while its connection was still coming up, it can't have run.
+    pub fn cancel(&self, attempt: AttemptId) -> bool {
+        let Some(line) = lock(&self.shared.book).running.remove(&attempt) else { return true };
         let mut state = lock(&line.state);
         state.cancelled = true;
         if let Some(stream) = &state.stream {
             _ = stream.shutdown(Shutdown::Both);
         }
+        state.stream.is_some()
     }
 
     /// Asks a node for its load.
@@ -179,7 +184,10 @@
         }
         if book.lines >= shared.most && !book.close_oldest() {
             // No judgement on the node: it never got the attempt.
-            warn!(shared.log, "no descriptor left for a ticket node"; "lines" => book.lines);
+            if let Some(more) = shared.full.due() {
+                let lines = book.lines;
+                warn!(shared.log, "no descriptor left for a ticket node"; "lines" => lines, "unlogged" => more);
+            }
             return Err(Outcome::Moot);
         }
         book.lines += 1;
@@ -273,12 +281,13 @@
 
     fn probe(&mut self) -> Exchange<S::Value> {
         let Ok(stream) = self.connected() else { return Exchange::broke(Outcome::ConnectFailed) };
-        // Nothing else ends a probe, as the core does an attempt.
-        if stream.set_read_timeout(Some(self.shared.links.connect)).is_err() {
+        // Nothing else ends a probe, as the core does an attempt: neither its writing nor its reading.
+        let limit = |wait| stream.set_write_timeout(wait).is_ok() && stream.set_read_timeout(wait).is_ok();
+        if !limit(Some(self.shared.links.connect)) {
             return Exchange::broke(Outcome::ConnectFailed);
         }
         let done = self.shared.speech.probe(&stream);
-        Exchange { keep: done.keep && stream.set_read_timeout(None).is_ok(), ..done }
+        Exchange { keep: done.keep && limit(None), ..done }
     }
 
     /// The kept connection if it still stands, else a new one.
--- a/src/net/wiring.rs
+++ b/src/net/wiring.rs
@@ -13,9 +13,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Descriptors that neither agents nor ticket nodes may use: the listener, the node list, the counter, the
-/// logs, and connections that are just being closed.
-const RESERVE: usize = 96;
+/// Agents, but for floods, hold a third of the descriptors at most; for these there is a twelfth more. Ticket nodes
+/// have a third. The rest is for the listener, the node list, the counter, the logs, and connections that are just
+/// being closed.
+fn shares(descriptors: usize) -> (usize, usize) {
+    let third = (descriptors / 3).max(8);
+    (third + third / 4, third)
+}
 
 /// The core's queue.
 pub type Queue<S> = Sender<Input<Wiring<S>>>;
@@ -40,8 +44,8 @@
         self.nodes.start(attempt, node, call.clone(), ends);
     }
 
-    fn cancel(&mut self, attempt: AttemptId) {
-        self.nodes.cancel(attempt);
+    fn cancel(&mut self, attempt: AttemptId) -> bool {
+        self.nodes.cancel(attempt)
     }
 
     fn probe(&mut self, node: &ServerId) {
@@ -55,6 +59,9 @@
     }
 }
 
+/// Takes a new configuration while the limiter runs. What is open goes on, and counts stand.
+pub type Reload<C> = Box<dyn FnMut(C) + Send>;
+
 /// A limiter, ready to run.
 pub struct Limiter<M: Manner> {
     core: Core<Wiring<M::Speech>>,
@@ -62,6 +69,7 @@
     front: Arc<Front<M>>,
     queue: Queue<M::Speech>,
     nodes: TicketNodes<M::Speech>,
+    counter: Option<CountLines>,
     /// Where it listens.
     pub bound: SocketAddr,
 }
@@ -76,13 +84,13 @@
         log: &Logger,
     ) -> io::Result<Self> {
         let (queue, inputs) = unbounded();
-        let most = common.descriptors.saturating_sub(RESERVE).max(8) / 2;
+        let (for_agents, for_nodes) = shares(common.descriptors);
         let nodes_log = log.new(o!("part" => "nodes"));
-        let nodes = TicketNodes::new(common.links, most, speech, queue.clone(), nodes_log);
+        let nodes = TicketNodes::new(common.links, for_nodes, speech, queue.clone(), nodes_log);
         let to = queue.clone();
         let counted = move |call, outcome, total| _ = to.send(Input::Counted { call, outcome, total });
         let counter = counter(Arc::new(counted))?;
-        let front = Front::new(manner, most, queue.clone(), log.new(o!("part" => "agents")));
+        let front = Front::new(manner, for_agents, queue.clone(), log.new(o!("part" => "agents")));
         let (ready, first_list) = bounded(1);
         let own = front.clone();
         super::spawn("ready", move || {
@@ -93,11 +101,11 @@
         learn(&nodes, &queue, Scope::Kept, common.known);
         let bound = front.listen(common.listen)?;
         info!(log, "listening"; "at" => %bound, "limiter" => common.name);
-        let edges = Wiring { nodes: nodes.clone(), counter };
+        let edges = Wiring { nodes: nodes.clone(), counter: counter.clone() };
         let core_log = log.new(o!("part" => "core"));
         let clock = Clock::start();
         let core = Core::new(common.settings, common.seed, common.max_open, edges, clock, ready, core_log);
-        Ok(Self { core, inputs, front, queue, nodes, bound })
+        Ok(Self { core, inputs, front, queue, nodes, counter, bound })
     }
 
     /// Takes news of the node list while the limiter runs.
@@ -109,6 +117,11 @@
         }
     }
 
+    /// The way to the counter, which a new configuration may move.
+    pub fn count_lines(&self) -> Option<CountLines> {
+        self.counter.clone()
+    }
+
     /// What ends this limiter.
     pub fn stopper(&self) -> Stopper {
         let (front, queue) = (self.front.clone(), self.queue.clone());
--- a/src/openapi/agents.rs
+++ b/src/openapi/agents.rs
@@ -1,14 +1,12 @@
 //! The HTTP front: requests matched with the description, answers as HTTP says.
 
-use super::description::{Description, Found};
+use super::description::{Description, Found, Operation};
 use super::node_calls::{write_headers, HttpCall, HttpServed, HttpSpeech};
 use crate::config::Account;
 use crate::interface::CustomerId;
 use crate::limiter::{Answer, Incoming};
-use crate::net::front::{Desk, Manner, Reply, Slot};
+use crate::net::front::{Desk, Dismissal, Manner, Reply};
 use crate::net::http::{header, Ask, Body, Broken, Reader};
-use crate::net::wiring::Wiring;
-use slog::info;
 use std::collections::HashMap;
 use std::io::{self, Write};
 use std::net::TcpStream;
@@ -47,6 +45,7 @@
             401 => "Unauthorized",
             404 => "Not Found",
             405 => "Method Not Allowed",
+            408 => "Request Timeout",
             413 => "Content Too Large",
             429 => "Too Many Requests",
             431 => "Request Header Fields Too Large",
@@ -74,8 +73,6 @@
     }
 }
 
-type Understood = Result<Incoming<Wiring<HttpSpeech>>, (Slot<HttpServed>, Problem)>;
-
 impl Manner for HttpAgents {
     type Speech = HttpSpeech;
     type Shape = Shape;
@@ -87,31 +84,67 @@
                 Ok(Some(message)) => message,
                 Ok(None) => return,
                 Err(problem) => {
-                    info!(desk.log(), "malformed request"; "fault" => &problem.1);
                     // Nothing after it can be told apart.
-                    let shape = || Shape { keep: false, modern: true, head: false };
-                    if let Some((_, slot)) = desk.place(shape()) {
-                        _ = slot.send(Reply::Words { text: problem.text(&shape()), last: true });
-                    }
-                    return;
+                    let shape = Shape { keep: false, modern: true, head: false };
+                    let text = problem.text(&shape);
+                    return desk.say_last(shape, text, &problem.1);
                 }
             };
             let arrived = Instant::now();
-            let shape = || Shape { keep: ask.keep, modern: ask.modern, head: ask.method == "HEAD" };
-            let (keep, own) = (ask.keep, shape());
-            let Some((number, slot)) = desk.place(shape()) else { return };
-            match self.understand(number, ask, body, arrived, slot) {
-                Ok(request) => desk.ask(request),
-                Err((slot, problem)) => {
-                    _ = slot.send(Reply::Words { text: problem.text(&own), last: !keep });
+            let shape = Shape { keep: ask.keep, modern: ask.modern, head: ask.method == "HEAD" };
+            let keep = ask.keep;
+            let (operation, name, account) = match self.understand(&ask) {
+                Ok(found) => found,
+                Err(problem) => {
+                    let text = problem.text(&shape);
+                    if !keep {
+                        return desk.say_last(shape, text, &problem.1);
+                    }
+                    if !desk.say(shape, Reply::Words { text, last: false }) {
+                        return;
+                    }
+                    continue;
                 }
-            }
+            };
+            let Some((number, client)) = desk.place(shape) else { return };
+            // The core has the node list of the file before any request.
+            let budget = self.description.classes.get(operation.class).map_or(0, |class| class.deadline);
+            desk.ask(Incoming {
+                number,
+                id: None,
+                arrived,
+                budget: Duration::from_micros(budget),
+                class: operation.class,
+                plan: account.plan,
+                account: CustomerId::from(name),
+                units: operation.units,
+                spread: account.spread,
+                first: account.first,
+                client,
+                call: HttpCall {
+                    method: ask.method,
+                    target: ask.target,
+                    headers: ask.headers,
+                    body,
+                    operation: operation.clone(),
+                },
+            });
             if !keep {
                 return;
             }
         }
     }
 
+    fn dismissal(&self, why: Dismissal) -> (Shape, Vec<u8>) {
+        let status = match why {
+            Dismissal::TooSlow => 408,
+            Dismissal::TooMany => 429,
+        };
+        let shape = Shape { keep: false, modern: true, head: false };
+        let text = Problem::new(status, why.words()).text(&shape);
+        (shape, text)
+    }
+
     fn write(&self, mut to: &TcpStream, shape: Shape, answer: Answer<HttpServed>) -> io::Result<bool> {
         let text = match answer {
             Answer::Served(HttpServed { head, body }) => {
@@ -181,11 +214,12 @@
         let waits = header(&ask.headers, "expect").is_some_and(|e| e.eq_ignore_ascii_case(b"100-continue"));
         if waits && ask.modern && ask.body != Body::Empty {
             // In its place: after the answers to what was asked before.
-            let Some((_, slot)) = desk.place(Shape { keep: true, modern: true, head: false }) else {
+            let shape = Shape { keep: true, modern: true, head: false };
+            if !desk.say(shape, Reply::words("HTTP/1.1 100 Continue\r\n\r\n")) {
                 return Ok(None);
-            };
-            _ = slot.send(Reply::words("HTTP/1.1 100 Continue\r\n\r\n"));
+            }
         }
+        desk.half();
         match reader.body(ask.body, LONGEST_BODY) {
             Ok(body) => Ok(Some((ask, body))),
             Err(Broken::Closed | Broken::Io(_)) => Ok(None),
@@ -194,48 +228,27 @@
         }
     }
 
-    fn understand(
-        &self,
-        number: u64,
-        ask: Ask,
-        body: Vec<u8>,
-        arrived: Instant,
-        slot: Slot<HttpServed>,
-    ) -> Understood {
+    /// Finds the operation and the agent account that a request names.
+    fn understand(&self, ask: &Ask) -> Result<(&Operation, &str, Account), Problem> {
         let path = ask.target.split(['?', '#']).next().unwrap_or("");
         let operation = match self.description.find(&ask.method, path) {
-            Found::Operation(operation) => operation.clone(),
+            Found::Operation(operation) => operation,
             Found::Methods(allowed) => {
-                let problem = Problem(405, format!("the path has {allowed}"), Some(("Allow", allowed)));
-                return Err((slot, problem));
+                return Err(Problem(405, format!("the path has {allowed}"), Some(("Allow", allowed))));
             }
-            Found::Nothing => return Err((slot, Problem::new(404, "no such path in the description"))),
+            Found::Nothing => return Err(Problem::new(404, "no such path in the description")),
         };
         let named = header(&ask.headers, &self.account_header).and_then(|n| std::str::from_utf8(n).ok());
         let Some((name, account)) = named.and_then(|name| self.accounts.get_key_value(name)) else {
             let with = ("WWW-Authenticate", format!("AgentAccount header=\"{}\"", self.account_header));
-            return Err((slot, Problem(401, "unknown agent account".into(), Some(with))));
+            return Err(Problem(401, "unknown agent account".into(), Some(with)));
         };
         if let Some(key) = &operation.key_header {
             // Without a key, ticket nodes can't tell a repeat from a new request.
             if header(&ask.headers, key).is_none_or(<[u8]>::is_empty) {
-                return Err((slot, Problem::new(400, format!("the operation needs a key in {key}"))));
+                return Err(Problem::new(400, format!("the operation needs a key in {key}")));
             }
         }
-        // The core has the node list of the file before any request.
-        let budget = self.description.classes.get(operation.class).map_or(0, |class| class.deadline);
-        Ok(Incoming {
-            number,
-            arrived,
-            budget: Duration::from_micros(budget),
-            class: operation.class,
-            plan: account.plan,
-            account: CustomerId::from(name.as_str()),
-            units: operation.units,
-            spread: account.spread,
-            first: account.first,
-            client: slot,
-            call: HttpCall { method: ask.method, target: ask.target, headers: ask.headers, body, operation },
-        })
+        Ok((operation, name, *account))
     }
 }
--- a/src/openapi/mod.rs
+++ b/src/openapi/mod.rs
@@ -11,14 +11,15 @@
 use crate::net::count_lines::CountLines;
 use crate::net::quota_counter::QuotaCounter;
 use crate::net::redis_counter::RedisCounter;
-use crate::net::wiring::Limiter;
+use crate::net::wiring::{Limiter, Reload};
 use agents::HttpAgents;
 use node_calls::HttpSpeech;
-use slog::{o, warn, Logger};
+use slog::{info, o, warn, Logger};
 use std::io;
 
-/// Starts a limiter with an OpenAPI front, all but its core.
-pub fn start(config: OpenApi, log: &Logger) -> io::Result<Limiter<HttpAgents>> {
+/// Starts a limiter with an OpenAPI front, all but its core. The second is what a new file is given to: it may move
+/// ticket nodes and store; all else waits for the next start.
+pub fn start(config: OpenApi, log: &Logger) -> io::Result<(Limiter<HttpAgents>, Reload<OpenApi>)> {
     for operation in &config.description.unmarked {
         warn!(log, "operation never repeated, as it does not say whether it may be"; "operation" => operation);
     }
@@ -27,8 +28,20 @@
     let counter = |counted| match store {
         Store::None => Ok(None),
         Store::Redis(at) => CountLines::start(at, RedisCounter, counted, &counter_log).map(Some),
-        Store::QuotaCounter(at) => CountLines::start(at, QuotaCounter(at), counted, &counter_log).map(Some),
+        Store::QuotaCounter(at) => CountLines::start(at, QuotaCounter, counted, &counter_log).map(Some),
     };
     let agents = HttpAgents::new(config.description, config.account_header, config.accounts);
-    Limiter::start(config.common, agents, HttpSpeech, counter, log)
+    let limiter = Limiter::start(config.common, agents, HttpSpeech, counter, log)?;
+    let (news, lines, log) = (limiter.news(), limiter.count_lines(), log.clone());
+    let reload = move |config: OpenApi| {
+        news(config.common.known);
+        match (store, config.store, &lines) {
+            (Store::Redis(_), Store::Redis(at), Some(lines)) => lines.move_to(at),
+            (Store::QuotaCounter(_), Store::QuotaCounter(at), Some(lines)) => lines.move_to(at),
+            (Store::None, Store::None, _) => {}
+            _ => warn!(log, "counter taken up at the next start alone"),
+        }
+        info!(log, "configuration read again"; "store" => ?config.store);
+    };
+    Ok((limiter, Box::new(reload)))
 }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -27,7 +27,9 @@
         _ = self.started.send(attempt);
     }
 
-    fn cancel(&mut self, _: AttemptId) {}
+    fn cancel(&mut self, _: AttemptId) -> bool {
+        true
+    }
 
     fn probe(&mut self, _: &ServerId) {}
 
@@ -67,6 +69,7 @@
 fn request(number: u64) -> Input<Played> {
     Input::Request(Incoming {
         number,
+        id: None,
         arrived: Instant::now(),
         budget: Duration::from_secs(2),
         class: 0,
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 use mossrill::net::front::Manner;
-use mossrill::net::wiring::{Limiter, Stopper};
+use mossrill::net::wiring::{Limiter, Reload, Stopper};
 use mossrill::net::{platform, resp};
 use mossrill::{config, openapi};
 use serde_json::{json, Value};
@@ -10,6 +10,8 @@
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
@@ -154,6 +156,15 @@
     (at, totals)
 }
 
+/// A node list that tells of these nodes when asked for it whole, and has no further news.
+pub fn whole_list(nodes: Vec<Value>) -> SocketAddr {
+    let list = json!({"generation": 3, "reset": true, "instances": nodes}).to_string();
+    http_peer(move |first, _, _| match first.contains("watch") {
+        true => Act::Say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".into()),
+        false => answer("200 OK", &list),
+    })
+}
+
 /// A node list that says nothing after the head of its watch.
 pub fn quiet_list() -> SocketAddr {
     http_peer(|_, _, _| Act::Say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".into()))
@@ -173,7 +184,7 @@
 }
 
 impl Running {
-    fn new<M: Manner>(limiter: Limiter<M>) -> Self {
+    fn new<M: Manner, C>((limiter, _): (Limiter<M>, Reload<C>)) -> Self {
         let (at, stopper) = (limiter.bound, Some(limiter.stopper()));
         Self { at, stopper, core: thread::spawn(move || limiter.run()) }
     }
@@ -201,7 +212,7 @@
             "limits": {"maxAttempts": 4, "mayCancel": true, "secondCopies": true, "retryAfter": true,
                 "maxRetryAfter": 1_000_000, "connIdle": 30_000_000, "connectTimeout": 250_000, "maxOpen": 20_000},
             "loadInfo": {"fields": ["queue", "inflight", "util"], "source": "pull"},
-            "specifics": {"mayCount": true, "counterTimeout": 50_000}}})
+            "specifics": {"mayCount": true, "unitsTop": 6, "counterTimeout": 50_000}}})
 }
 
 /// Starts a limiter on the platform.
@@ -210,6 +221,54 @@
     Running::new(platform::start(config, &quiet()).expect("a start"))
 }
 
+/// The program itself, with its configuration in a file; ended when dropped.
+pub struct Program {
+    pub at: SocketAddr,
+    file: PathBuf,
+    child: Child,
+    log: BufReader<ChildStderr>,
+}
+
+impl Program {
+    pub fn start(name: &str, settings: &Value) -> Self {
+        let file = std::env::temp_dir().join(format!("mossrill-{name}-{}.json", std::process::id()));
+        std::fs::write(&file, settings.to_string()).expect("a file");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_mossrill"));
+        let command = command.env("EDGE_CONFIG", &file).stderr(Stdio::piped());
+        let mut child = command.spawn().expect("a start");
+        let log = BufReader::new(child.stderr.take().expect("a log"));
+        let mut program = Self { at: SocketAddr::from(([0; 4], 0)), file, child, log };
+        let line = program.logged("listening");
+        program.at = line.rsplit("at: ").next().and_then(|at| at.trim().parse().ok()).expect("an address");
+        program
+    }
+
+    /// Reads the log up to a line with these words.
+    pub fn logged(&mut self, words: &str) -> String {
+        let mut line = String::new();
+        while !line.contains(words) {
+            line.clear();
+            assert!(self.log.read_line(&mut line).expect("a log") > 0, "ended without {words:?}");
+        }
+        line
+    }
+
+    /// Replaces the file and says so.
+    pub fn reload(&mut self, text: &str) {
+        std::fs::write(&self.file, text).expect("a file");
+        let kill = format!("kill -HUP {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        _ = self.child.kill();
+        _ = self.child.wait();
+        _ = std::fs::remove_file(&self.file);
+    }
+}
+
 /// Starts a limiter with an OpenAPI front.
 pub fn openapi_limiter(file: &Value, description: &str) -> Running {
     let config = config::openapi(&file.to_string(), |_| Ok(description.to_owned())).expect("a good file");
@@ -226,7 +285,11 @@
 impl Agent {
     /// Connects, and waits until the limiter says that it is ready.
     pub fn ready(limiter: &Running) -> Self {
-        let mut agent = Self::connect(limiter);
+        Self::ready_at(limiter.at)
+    }
+
+    pub fn ready_at(at: SocketAddr) -> Self {
+        let mut agent = Self::connect_at(at);
         loop {
             agent.say("*1\r\n$4\r\nPING\r\n");
             if agent.line() == "+PONG" {
@@ -237,7 +300,11 @@
     }
 
     pub fn connect(limiter: &Running) -> Self {
-        let stream = TcpStream::connect(limiter.at).expect("a connection");
+        Self::connect_at(limiter.at)
+    }
+
+    pub fn connect_at(at: SocketAddr) -> Self {
+        let stream = TcpStream::connect(at).expect("a connection");
         stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
         Self(BufReader::new(stream))
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -245,3 +245,122 @@
     }
     insta::assert_snapshot!(faults.join("\n"));
 }
+
+#[test]
+fn a_new_configuration_moves_node_list_and_counter_and_a_bad_one_changes_nothing() {
+    let (slow, seen) = resp_peer(|_, words| {
+        std::thread::sleep(std::time::Duration::from_millis(if words[2] == "open" { 300 } else { 0 }));
+        serve("old")
+    });
+    let (new, _) = resp_peer(|_, _| serve("new"));
+    let (counter, totals) = quota_counter();
+    let mut settings = settings(quiet_list(), quota_counter().0, &[("s-1", slow)]);
+    settings["settings"]["balancers"] = 2.into();
+    let mut program = Program::start("reload", &settings);
+    let mut open = Agent::ready_at(program.at);
+    open.say(&asking("look", "open", 1500).replace("spread=1", "spread=2"));
+    next(&seen);
+    // Its version is below the one known: it has nothing to do with the old list.
+    settings["discovery"] = whole_list(vec![entry("s-2", new, "in_service")]).to_string().into();
+    settings["counter"] = counter.to_string().into();
+    program.reload(&settings.to_string());
+    program.logged("node list news, nodes: 1, full: true");
+    let mut agent = Agent::ready_at(program.at);
+    agent.say(&asking("look", "id", 1500).replace("spread=1", "spread=2"));
+    assert_eq!((open.answer(), agent.answer()), ("old".into(), "new".into()));
+    until(|| totals.lock().expect("whole").len(), |counts| *counts > 0);
+    settings["counter"] = "nowhere".into();
+    program.reload(&settings.to_string());
+    let fault =
+        program.logged("not taken").split("fault: ").last().map(|f| f.split("key").last().map(str::to_owned));
+    agent.ask("look", "id", 1500);
+    insta::assert_snapshot!(format!("{:?}\n{}", fault.flatten(), agent.answer()));
+}
+
+#[test]
+fn what_no_agent_would_send_is_turned_away_before_the_module_or_a_node_sees_it() {
+    let (node, seen) = resp_peer(|_, words| if words[2] == "open" { Act::Hang } else { serve(&words[2]) });
+    let limiter = started(&[("s-1", node)]);
+    let mut open = Agent::ready(&limiter);
+    open.ask("pay", "open", 1500);
+    next(&seen);
+    let mut told = Vec::new();
+    for (what, by) in [
+        ("00000000b4d65521", "000000200000000"),
+        ("00000000b4d65521", "0000000200000000"),
+        ("00000000b4d65521", "+0000000b4d65521"),
+        ("$2\r\nid\r\n", "$0\r\n\r\n"),
+        ("$2\r\nid\r\n", "$4\r\nopen\r\n"),
+        ("k=5c0f,", ""),
+        ("SVC.SUBMIT", "SVC.QUERYX"),
+        ("$10\r\nSVC.SUBMIT", "$9\r\nSVC.QUERY"),
+        ("units=2", "units=7"),
+        ("units=2", "units=0"),
+        ("units=2", "units=NaN"),
+        ("spread=1", "spread=2"),
+        ("first=0", "first=1"),
+        ("first=0", "first=-1"),
+        ("d=500", "d=inf"),
+        ("d=500,", ""),
+    ] {
+        let mut fields = asking("hold", "id", 500).replacen(what, by, 1);
+        // The lengths of the words changed are put right.
+        let words: Vec<String> = fields.split("\r\n").skip(2).step_by(2).map(str::to_owned).collect();
+        fields = format!("*{}\r\n", words.len());
+        words.iter().for_each(|w| fields += &format!("${}\r\n{w}\r\n", w.len()));
+        let mut agent = Agent::connect(&limiter);
+        agent.say(&fields);
+        told.push(format!("{by}: {}", agent.answer()));
+    }
+    assert!(seen.try_iter().next().is_none());
+    insta::assert_snapshot!(told.join("\n"));
+}
+
+#[test]
+fn agents_that_say_nothing_or_half_a_command_or_nonsense_are_ended() {
+    let (node, _seen) = resp_peer(|_, _| Act::Hang);
+    let mut settings = settings(quiet_list(), quota_counter().0, &[("s-1", node)]);
+    for time in ["slo", "deadline"] {
+        settings["settings"]["classes"][2][time] = 30_000_000.into();
+    }
+    let limiter = limiter(&settings);
+    let at = limiter.at;
+    let ends = |text: String| {
+        let mut agent = Agent::connect_at(at);
+        agent.say(&text);
+        let lines: Vec<String> =
+            std::iter::from_fn(|| Some(agent.line()).filter(|l| !l.is_empty())).collect();
+        lines[lines.len().saturating_sub(2)..].join(" / ")
+    };
+    let open = |id: &str| asking("pay", id, 30_000);
+    let texts = [
+        String::new(),
+        "*4\r\n$9\r\nSVC.Q".into(),
+        // Nothing open any more, and held for good.
+        "*1\r\n$4\r\nWHAT\r\n".into(),
+        // Behind a request that no node answers: its own agent is not kept waiting for the rest.
+        open("open-1") + "*x\r\n",
+        open("open-2") + &"*1\r\n$4\r\nPING\r\n".repeat(100),
+        asking("dance", "id", 500).repeat(20),
+    ];
+    let told: Vec<String> = std::thread::scope(|scope| {
+        let asked = texts.map(|text| scope.spawn(|| ends(text)));
+        asked.into_iter().map(|agent| agent.join().expect("an end")).collect()
+    });
+    insta::assert_snapshot!(told.join("\n"));
+}
+
+#[test]
+fn connections_that_say_nothing_push_out_each_other_and_not_an_agent() {
+    let (node, _seen) = resp_peer(|_, words| serve(&words[2]));
+    let mut settings = settings(quiet_list(), quota_counter().0, &[("s-1", node)]);
+    settings["limits"]["sockets"] = 96.into();
+    let limiter = limiter(&settings);
+    let mut agent = Agent::ready(&limiter);
+    let silent: Vec<Agent> = (0..200).map(|_| Agent::connect(&limiter)).collect();
+    agent.ask("look", "id-1", 1500);
+    let mut other = Agent::connect(&limiter);
+    other.ask("look", "id-2", 1500);
+    assert_eq!((agent.answer(), other.answer()), ("id-1".into(), "id-2".into()));
+    drop(silent);
+}
