Ask the counter at once for a new account whose part is under one request

Ruled out: CPU (1.4 s in 62 s), memory (9 of 32 MB), descriptors (109 of 256), the counter (2% unanswered). At fault: policy.rs within_quota(): a new account holds burst / spread, which may be less than the request's units; it returned Wait without putting the account among those due for a call, so nothing ever asked for a total.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -290,6 +290,11 @@
             return self.claimed(id, now >= self.call_after);
         }
         if customer.level < request.units {
+            // A new customer's part may be under one request: whether the store holds it, the count tells.
+            if usable && customer.spread > 1 && customer.answered.is_none() {
+                customer.verify = true;
+                self.due.insert(held.request.customer.clone());
+            }
             return Verdict::Wait;
         }
         // A new customer or a silent counter: the copy holds a fair part alone, which needs no total.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -425,3 +425,18 @@
         acts.iter().find_map(|a| if let Action::Refuse { after, .. } = a { Some(*after) } else { None });
     assert!(after.is_some_and(|a| a > 0 && a < 250_000), "told {after:?} under an aim of 500 ms");
 }
+
+#[test]
+fn a_new_customer_whose_part_is_under_one_request_asks_the_counter_at_once() {
+    // Nothing was sent yet, so nothing was to be told: the request waited for its own part to fill, and was refused
+    // with the whole quota unused.
+    let mut settings = settings();
+    settings.gateways = 4;
+    let mut bench = Bench::new(settings, 4);
+    let (id, customer) = ("big".into(), "once".into());
+    let request =
+        Request { id, class: 0, plan: 0, customer, budget: 2_000_000, units: 6.0, spread: 4, first: 0 };
+    let asked = bench.on(Event::Request(request));
+    assert_eq!((sends(&asked).len(), counts(&asked)), (0, 1));
+    assert_eq!(sends(&bench.count(&asked, 0.0, Outcome::Ok)).len(), 1);
+}
