--- a/src/policy.rs
+++ b/src/policy.rs
@@ -936,8 +936,7 @@
         let elsewhere = total - self.told;
         if self.answered.is_none() {
             // Read before trusting: the window so far tells what is left of the store.
-            // What filled a full store is lost: of a count that came late in its window only the part kept so far
-            // and what surely is left are taken.
+            // What fills a full store is lost: beside the part kept so far, only what surely is left counts.
             let passed = (now % crate::policy::window(plan)) as f64 / SECOND;
             let left = plan.burst + claim - total - self.pending;
             self.level = left.max(self.level).min(left + plan.rate * passed).min(plan.burst);
