Refuse what was never sent within half of its time; cut backlogs by units

At fault: policy.rs expire() lets a request that was never sent wait up to its aim less the mean answer, which may be more than half of what the client waits; cut_backlog() counts waiting requests where its reach is in units, 2.3 a request.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -226,7 +226,9 @@
         let reach = customer.level.max(0.0) + filled * hold / f64::from(customer.spread) + 1.0;
         let worth = |id: &&RequestId| self.held.get(*id).map_or(0.0, |h| h.worth);
         let least = customer.waiting.iter().rev().min_by(|a, b| worth(a).total_cmp(&worth(b))).cloned();
-        if let Some(id) = least.filter(|_| customer.waiting.len() as f64 > reach) {
+        let units = customer.waiting.iter().filter_map(|id| self.held.get(id)).map(|h| h.request.units);
+        let wait: f64 = if plan.open > 0 { customer.waiting.len() as f64 } else { units.sum() };
+        if let Some(id) = least.filter(|_| wait > reach) {
             self.finish(&id, End::Turned { after: self.come_back() }, act);
         }
     }
@@ -302,8 +304,8 @@
         if !new && customer.level - unseen >= 2.0 * request.units {
             return Verdict::Send;
         }
-        // Near the end of a store all gateways see the same units come, and of a new customer none knows what the
-        // others sent: a total alone would have each of them send. A new one's part may be under one request, too.
+        // Near the end of a store all gateways see the same units come: a total alone would have each of them
+        // send. A new customer's part may be under one request; whether the store holds it, the count tells.
         if (new || enough) && customer.call.is_none() {
             (customer.verify, customer.wanted) = (true, request.units - customer.granted);
             self.due.insert(held.request.customer.clone());
@@ -806,7 +808,9 @@
         let over = |held: &Held| {
             let aim = self.cfg.classes[held.request.class].aim as f64;
             let start_by = held.aim_at as f64 - self.paces[held.request.class].mean.min(aim / 2.0);
-            let late = held.attempts.is_empty() && now as f64 > start_by;
+            // A final answer to what was never sent is owed in half of its time.
+            let half = held.deadline as f64 - held.request.budget as f64 / 2.0 - 2.0 * step as f64;
+            let late = held.attempts.is_empty() && now as f64 > start_by.min(half);
             !held.streaming && (late || now + 2 * step >= held.deadline)
         };
         let waiting = self.held.iter().filter(|(_, held)| over(held)).map(|(id, _)| id.clone());
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -492,3 +492,28 @@
     }
     assert!(sent <= 9, "{sent} sent of a part of ten");
 }
+
+#[test]
+fn what_was_never_sent_is_refused_before_half_of_its_time_has_gone() {
+    // The aim of 500 ms left it waiting to 375 ms, of the 600 ms that the client gives.
+    let mut bench = Bench::new(Settings { counter: false, ..settings() }, 0);
+    let (id, customer) = ("a".into(), "customer".into());
+    let request =
+        Request { id, class: 0, plan: 0, customer, budget: 600_000, units: 1.0, spread: 2, first: 0 };
+    bench.on(Event::Request(request));
+    assert_eq!(refused(&bench.pass(300_000)), 1);
+}
+
+#[test]
+fn a_backlog_is_cut_by_its_units() {
+    // Of six units each, the part of ten and what fills it in half of the aim reach one; by number it was all six.
+    let mut bench = Bench::new(Settings { counter: false, ..settings() }, 0);
+    let mut turned = 0;
+    for n in 0..6 {
+        let (id, customer) = (format!("a{n}").as_str().into(), "customer".into());
+        let request =
+            Request { id, class: 0, plan: 0, customer, budget: 2_000_000, units: 6.0, spread: 2, first: 0 };
+        turned += refused(&bench.on(Event::Request(request)));
+    }
+    assert_eq!(turned, 5);
+}
