Use no connection again after a spoilt answer; keep values beside unreadable figures

At fault: node_calls.rs understood() kept a connection after a whole reply that no ticket node means (+, :, a null value, any - line), which then answers nothing; an array of another length was waited for to the time-out; resp.rs took an unreadable figure for an unreadable answer, and lines up to 64 KiB. policy.rs counted() took a claim whose answer was lost for granted; the next total decides now. Ruled out: noise behind a good answer (keep is false then, and stands() looks again before the next use).

--- a/src/net/node_calls.rs
+++ b/src/net/node_calls.rs
@@ -9,6 +9,8 @@
 use std::ops::Range;
 use std::time::Duration;
 
+/// What the answer of a ticket node that served begins with: value, use and load.
+const SERVED: &[u8] = b"*3\r\n";
 /// Place of the names and values among a command's words.
 pub const FIELDS: usize = 3;
 
@@ -71,7 +73,7 @@
         let done = self.answer(stream);
         match (done.outcome, &done.value) {
             // A load report where a value was due serves nobody.
-            (Outcome::Ok, None) => Exchange { outcome: Outcome::Error, ..done },
+            (Outcome::Ok, None) => Exchange::broke(Outcome::Error),
             _ => done,
         }
     }
@@ -97,7 +99,10 @@
                 }
                 Err(_) => return Exchange::broke(Outcome::Reset),
             }
+            // An array of any other length would be waited for in vain.
+            let other = buffer[0] == b'*' && !buffer[..end].starts_with(&SERVED[..end.min(SERVED.len())]);
             match resp::reply(&buffer[..end], 0) {
+                _ if other => return Exchange::broke(Outcome::Error),
                 Ok(Some((reply, size))) => return self.understood(buffer, reply, size == end),
                 Ok(None) if end < SIZE => {}
                 _ => return Exchange::broke(Outcome::Error),
@@ -105,8 +110,12 @@
         }
     }
 
-    fn understood(&self, buffer: Buffer, reply: Reply, keep: bool) -> Exchange<Served> {
-        let done = |outcome, load, value| Exchange { outcome, load, value, keep };
+    /// What a whole reply says. `alone` if nothing came behind it.
+    ///
+    /// Guards against answers that come spoilt: after one that no ticket node means, its connection stays open and
+    /// answers nothing more.
+    fn understood(&self, buffer: Buffer, reply: Reply, alone: bool) -> Exchange<Served> {
+        let done = |outcome, load, value| Exchange { outcome, load, value, keep: alone };
         match reply {
             Reply::Array(Some(parts)) => {
                 let load = match parts.get(2) {
@@ -115,17 +124,21 @@
                 };
                 match parts.into_iter().next() {
                     Some(Reply::Bulk(Some(value))) => done(Outcome::Ok, load, Some(Served { buffer, value })),
-                    _ => done(Outcome::Error, load, None),
+                    _ => Exchange::broke(Outcome::Error),
                 }
             }
             Reply::Bulk(Some(report)) => done(Outcome::Ok, self.load(&buffer[report]), None),
             Reply::Error(text) => {
                 let text = &buffer[text];
                 let last = text.rsplit(|b| *b == b' ').next().filter(|w| w.contains(&b'='));
-                let outcome = if text.starts_with(b"BUSY") { Outcome::Full } else { Outcome::Error };
-                done(outcome, last.map(|w| self.load(w)).unwrap_or_default(), None)
+                let load = last.map(|w| self.load(w)).unwrap_or_default();
+                match text.split(|b| *b == b' ').next() {
+                    Some(b"BUSY") => done(Outcome::Full, load, None),
+                    Some(b"ERR") => done(Outcome::Error, load, None),
+                    _ => Exchange::broke(Outcome::Error),
+                }
             }
-            _ => done(Outcome::Error, Vec::new(), None),
+            _ => Exchange::broke(Outcome::Error),
         }
     }
 
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -4,6 +4,8 @@
 
 /// The longest value that the platform allows.
 const LONGEST: usize = 64 * 1024;
+/// The longest line of any use; one that never ends is known by its being longer.
+const LONGEST_LINE: usize = 1024;
 /// Words in a command and values in an array at most; the longest in use has five.
 const MOST: usize = 16;
 
@@ -34,7 +36,7 @@
         Some(0) => Err("line without a carriage return"),
         Some(end) if bytes[at + end - 1] != b'\r' => Err("line without a carriage return"),
         Some(end) => Ok(Some((at..at + end - 1, at + end + 1))),
-        None if bytes.len() - at > LONGEST => Err("line too long"),
+        None if bytes.len() - at > LONGEST_LINE => Err("line too long"),
         None => Ok(None),
     }
 }
@@ -103,10 +105,11 @@
     Ok(match kind {
         b'+' => line(bytes, at + 1)?.map(|(text, next)| (Reply::Simple(text), next)),
         b'-' => line(bytes, at + 1)?.map(|(text, next)| (Reply::Error(text), next)),
-        b':' => match line(bytes, at + 1)? {
-            Some((text, next)) => Some((Reply::Integer(integer(&bytes[text])?), next)),
-            None => None,
-        },
+        b':' => line(bytes, at + 1)?.map(|(text, next)| match integer(&bytes[text.clone()]) {
+            Ok(number) => (Reply::Integer(number), next),
+            // A figure that can't be read spoils nothing of what stands beside it.
+            Err(_) => (Reply::Simple(text), next),
+        }),
         b'$' => bulk(bytes, at + 1)?.map(|(value, next)| (Reply::Bulk(value), next)),
         b'*' if depth > 0 => {
             let Some((count, mut next)) = length(bytes, at + 1, MOST)? else { return Ok(None) };
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -315,7 +315,8 @@
         // Near the end of a store all gateways see the same units come: a total alone would have each of them
         // send. A new customer's part may be under one request; whether the store holds it, the count tells.
         if (new || enough) && customer.call.is_none() {
-            (customer.verify, customer.wanted) = (true, request.units - customer.granted);
+            let known = customer.granted + customer.doubtful;
+            (customer.verify, customer.wanted) = (true, (request.units - known).max(0.0));
             self.due.insert(held.request.customer.clone());
         }
         Verdict::Wait
@@ -718,17 +719,17 @@
             }
             Outcome::Ok if ok => {
                 customer.fill(now, plan, true);
+                let claim = claim + std::mem::take(&mut customer.doubtful);
                 customer.learn(now, window, (claim, by), total, plan);
                 customer.grant(claim);
             }
             // It may have been added: not told again, as a unit told twice is taken from the customer.
+            Outcome::Timeout if customer.sparse(plan) => customer.told += by + claim,
+            // Whether the store holds a claim that may stand in the count, the next total tells.
             Outcome::Timeout => {
-                customer.told += by + claim;
-                if !customer.sparse(plan) {
-                    (customer.blind, customer.granted) =
-                        (false, customer.granted + claim.min(customer.level));
-                    customer.level -= claim.min(customer.level);
-                }
+                customer.told += by;
+                customer.doubtful += claim;
+                (customer.blind, customer.verify) = (false, customer.verify || claim > 0.0);
             }
             _ => customer.pending += by,
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -76,6 +76,8 @@
     pub(crate) granted: f64,
     /// Units to be claimed in the next call; what the last rise of the count took from the copy.
     pub(crate) wanted: f64,
+    /// Units claimed in calls whose answers were lost.
+    pub(crate) doubtful: f64,
     pub(crate) taken: f64,
     pub(crate) blind: bool,
     pub(crate) fared: Fared,
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -552,3 +552,19 @@
         }
     }
 }
+
+#[test]
+fn a_claim_without_an_answer_is_decided_by_the_next_total() {
+    // It was taken for granted, and sent beyond the quota where another gateway had been quicker.
+    let mut bench = Bench::new(settings(), 4);
+    let first = bench.ask("a", 0, 0, "customer");
+    bench.count(&first, 1.0, Outcome::Ok);
+    bench.ask("b", 0, 0, "customer");
+    let told = bench.pass(2_200_000);
+    bench.count(&told, 20.5, Outcome::Ok);
+    let claimed = bench.ask("c", 0, 0, "customer");
+    assert_eq!((sends(&claimed).len(), amounts(&claimed)), (0, vec![1.0]));
+    let doubtful = bench.count(&claimed, 0.0, Outcome::Timeout);
+    assert_eq!((sends(&doubtful).len(), amounts(&doubtful)), (0, vec![0.0]));
+    assert_eq!(sends(&bench.count(&doubtful, 21.5, Outcome::Ok)).len(), 1);
+}
--- a/tests/openapi.rs
+++ b/tests/openapi.rs
@@ -188,3 +188,21 @@
     }
     insta::assert_snapshot!(told.join("\n"));
 }
+
+#[test]
+fn a_new_file_moves_ticket_nodes_and_store() {
+    let ((old, at_old), (new, at_new)) = (node(&[]), node(&[]));
+    let ((before, _), (after, totals)) = (quota_counter(), quota_counter());
+    let store = |at: SocketAddr| json!({"kind": "quota-counter", "address": at.to_string()});
+    let with = |node, counter| {
+        let mut file = file(&[node], store(counter));
+        file["limiters"] = json!({"me": 0, "all": 2});
+        file
+    };
+    let limiter = openapi_reloaded(&with(old, before), Some(&with(new, after)), DESCRIPTION);
+    let mut agent = Agent::connect(&limiter);
+    assert!(exchange(&mut agent, &request(LOOK, "", "")).starts_with("HTTP/1.1 200 OK"));
+    let asked = |at: &Mutex<Vec<String>>| at.lock().expect("whole").len();
+    assert_eq!((asked(&at_old), asked(&at_new)), (0, 1));
+    until(|| totals.lock().expect("whole").len(), |counts| *counts > 0);
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -271,8 +271,15 @@
 
 /// Starts a limiter with an OpenAPI front.
 pub fn openapi_limiter(file: &Value, description: &str) -> Running {
-    let config = config::openapi(&file.to_string(), |_| Ok(description.to_owned())).expect("a good file");
-    Running::new(openapi::start(config, &quiet()).expect("a start"))
+    openapi_reloaded(file, None, description)
+}
+
+/// The same, given another file at once.
+pub fn openapi_reloaded(file: &Value, other: Option<&Value>, description: &str) -> Running {
+    let read = |file: &Value| config::openapi(&file.to_string(), |_| Ok(description.to_owned()));
+    let (limiter, mut reload) = openapi::start(read(file).expect("a good file"), &quiet()).expect("a start");
+    other.into_iter().for_each(|file| reload(read(file).expect("a good file")));
+    Running::new((limiter, reload))
 }
 
 fn quiet() -> Logger {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -364,3 +364,39 @@
     assert_eq!((agent.answer(), other.answer()), ("id-1".into(), "id-2".into()));
     drop(silent);
 }
+
+#[test]
+fn a_spoilt_answer_reaches_nobody_and_leaves_a_connection_that_is_not_used_again() {
+    let spoilt = [
+        "+OK\r\n",
+        ":12\r\n",
+        "-\u{1}\u{2}\r\n",
+        "*2\r\n$5\r\nvalue\r\n$-1\r\n",
+        "*4\r\n$5\r\nvalue\r\n",
+        "*3\r\n$-1\r\n$-1\r\n$-1\r\n",
+        "*3\r\n$4\r\nvalue\r\n$-1\r\n$-1\r\n",
+        "*3\r\n$3000000000\r\nvalue",
+        "$5\r\nvalue\r\n",
+    ];
+    // Good ones, with figures that can't be read or with more behind them than belongs to them.
+    let good = [
+        "*3\r\n$5\r\nvalue\r\n:x\r\n$9\r\nqueue=NaN\r\n",
+        "*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n",
+    ];
+    let texts: Vec<String> = spoilt.iter().chain(&good).map(|text| (*text).to_owned()).collect();
+    let (count, script) = (texts.len(), std::sync::Mutex::new(texts.into_iter()));
+    let (node, seen) = resp_peer(move |_, words| match script.lock().expect("whole").next() {
+        Some(text) => Act::Say(text),
+        None => serve(&words[2]),
+    });
+    let limiter = started(&[("s-1", node)]);
+    let mut agent = Agent::ready(&limiter);
+    let mut told = Vec::new();
+    for number in 0..=count {
+        agent.ask("pay", &format!("pay-{number}"), 1500);
+        told.push(agent.answer());
+    }
+    // Only the good one with nothing behind it left a connection that could be used again.
+    let lines = seen.try_iter().filter(|(_, words)| words.is_some()).map(|(line, _)| line.to_string());
+    insta::assert_snapshot!(told.join("\n") + "\n" + &lines.collect::<Vec<_>>().join(" "));
+}
