--- a/src/policy.rs
+++ b/src/policy.rs
@@ -117,7 +117,7 @@
     odds: Vec<[f64; 3]>,
     /// And the share of sent requests that was asked for; who asks tells the others' units too.
     asked: Vec<f64>,
-    /// Customers that may need a call: those that a request waits for first, then the ones longest not heard of.
+    /// Customers that may need a call: what a request waits for first, then what was longest not heard of.
     due: BTreeSet<(bool, Micros, CustomerId)>,
     names: BTreeMap<u64, CustomerId>,
     ticking: bool,
