--- a/src/net/node_list.rs
+++ b/src/net/node_list.rs
@@ -14,7 +14,9 @@
 /// An empty line comes every 2 s; a watch silent for longer than this is broken.
 const SILENCE: Duration = Duration::from_millis(4_500);
 const CONNECT: Duration = Duration::from_secs(1);
-const FIRST_WAIT: Duration = Duration::from_millis(50);
+/// The node list takes its callers one after another: time for each limiter of the fleet.
+const TURN: Duration = Duration::from_millis(20);
+/// The longest wait, in fleets of any size at least this.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 /// A line of the watch holds the whole list at most.
 const LONGEST_LINE: usize = 4 << 20;
@@ -42,44 +44,68 @@
 pub fn watch(
     from: SocketAddr,
     generation: u64,
+    (limiters, seed): (u32, u64),
     news: impl Fn(NodeNews) + Send + 'static,
     log: Logger,
 ) -> io::Result<Watch> {
     let (moved, moves) = unbounded();
+    let (turns, rng) = (TURN * limiters.max(1), fastrand::Rng::with_seed(seed));
     let watch = Watch { moved, current: Arc::default() };
     let current = watch.current.clone();
-    let mut follower = Follower { from, generation: Some(generation), moves, current, news, log };
+    let mut follower = Follower { from, generation: Some(generation), moves, current, turns, rng, news, log };
     super::spawn("node-list", move || follower.run())?;
     Ok(watch)
 }
 
+/// The longest that may be waited after a fault, after one that may have been waited for `last`: all turns of the fleet
+/// at first and once news had come, and three times as long at the most.
+///
+/// Guards against a fleet that was cut off or started together and asks again together: a node list turns most callers
+/// away then, and limiters that asked each second kept it so for the rest of the day.
+fn next_wait(last: Duration, turns: Duration, heard: bool) -> Duration {
+    if heard {
+        turns
+    } else {
+        (last * 2).min(LONGEST_WAIT.max(turns * 3))
+    }
+}
+
+/// A random part of a wait, a tenth of it at least.
+fn spread(wait: Duration, chance: f64) -> Duration {
+    wait.mul_f64(0.1 + 0.9 * chance)
+}
+
 struct Follower<N> {
     from: SocketAddr,
     /// The version last told of; none where the list has to be read whole.
     generation: Option<u64>,
     moves: Receiver<SocketAddr>,
     current: Arc<Mutex<Option<TcpStream>>>,
+    /// Time in which the whole fleet can ask.
+    turns: Duration,
+    rng: fastrand::Rng,
     news: N,
     log: Logger,
 }
 
 impl<N: Fn(NodeNews)> Follower<N> {
     fn run(&mut self) {
-        let mut wait = FIRST_WAIT;
+        let mut wait = self.turns;
         loop {
+            // Before the first call too: limiters that start together would all ask within a few milliseconds.
+            let mut moved = self.moves.recv_timeout(spread(wait, self.rng.f64())).ok();
+            while let Some(at) = moved {
+                info!(self.log, "node list moved"; "to" => %at);
+                (self.from, self.generation, wait) = (at, None, self.turns);
+                moved = self.moves.try_recv().ok();
+            }
             let before = self.generation;
             let fault = self.follow();
             *lock(&self.current) = None;
             if self.moves.is_empty() {
                 warn!(self.log, "node list watch broke"; "fault" => ?fault, "generation" => self.generation);
             }
-            wait = if self.generation == before { (wait * 2).min(LONGEST_WAIT) } else { FIRST_WAIT };
-            let mut moved = self.moves.recv_timeout(wait).ok();
-            while let Some(at) = moved {
-                info!(self.log, "node list moved"; "to" => %at);
-                (self.from, self.generation, wait) = (at, None, FIRST_WAIT);
-                moved = self.moves.try_recv().ok();
-            }
+            wait = next_wait(wait, self.turns, self.generation != before);
         }
     }
 
@@ -157,3 +183,56 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// 100 limiters that were cut off at the same moment ask a list that takes one of them in 20 ms and turns away
+    /// who waits longer than 250 ms; who is turned away took that time all the same. So many are left after 10 s,
+    /// and when the others were served, in ms.
+    fn cut_off(mut pause: impl FnMut(&mut (Duration, fastrand::Rng)) -> Duration) -> (usize, Vec<u64>) {
+        let fleet = (0..100).map(|seed| (TURN * 100, fastrand::Rng::with_seed(seed)));
+        let mut fleet: Vec<_> = fleet.collect();
+        let mut asks: Vec<(Duration, usize)> =
+            fleet.iter_mut().enumerate().map(|(n, own)| (pause(own), n)).collect();
+        let (mut free, mut served) = (Duration::ZERO, Vec::new());
+        while let Some(next) = (0..asks.len()).min_by_key(|n| asks[*n]) {
+            let (at, n) = asks.swap_remove(next);
+            if at > Duration::from_secs(10) {
+                return (asks.len() + 1, served);
+            }
+            let patient = free.saturating_sub(at) <= Duration::from_millis(250);
+            free = free.max(at) + TURN;
+            if patient {
+                served.push(at.as_millis() as u64);
+            } else {
+                asks.push((at + pause(&mut fleet[n]), n));
+            }
+        }
+        (0, served)
+    }
+
+    #[test]
+    fn a_fleet_that_was_cut_off_together_comes_back_one_after_another() {
+        let spread_out = |(wait, rng): &mut (Duration, fastrand::Rng)| {
+            let pause = spread(*wait, rng.f64());
+            *wait = next_wait(*wait, TURN * 100, false);
+            pause
+        };
+        let (left, served) = cut_off(spread_out);
+        assert!(left == 0, "{left} limiters without a list after 10 s, the others at {served:?}");
+        // In step, each second, the list is kept busy with turning away.
+        let (left, _) = cut_off(|_| Duration::from_secs(1));
+        assert!(left > 50, "{left} left: the list of this test is never crowded");
+    }
+
+    #[test]
+    fn waits_grow_with_the_fleet_and_start_again_after_news() {
+        let (few, many) = (TURN * 3, TURN * 100);
+        let longest = |turns| (0..10).fold(turns, |wait, _| next_wait(wait, turns, false));
+        assert_eq!((longest(few), longest(many)), (LONGEST_WAIT, many * 3));
+        assert_eq!(next_wait(longest(many), many, true), many);
+        assert!(spread(many, 0.0) > Duration::ZERO && spread(many, 1.0) <= many);
+    }
+}
