Operators' line: ready, figures, ticket nodes taken out and put back

Design: counters kept where the thing happens (a request where its answer is written, an attempt where its last byte is) and read by the line's own threads. The road not taken: asking the core for figures, which would have a flooded limiter answer late. Orders reach the core by a queue that it looks at before each input; YES comes once the module has heard. A node taken out is laid over the list's news as a drain, and comes back as one that has just started. What was started and is not written yet is held back too. The module refuses at once while all that is listed is taken out; an empty list is waited for, as before.

--- a/src/config.rs
+++ b/src/config.rs
@@ -33,6 +33,10 @@
     pub name: String,
     /// Where agents connect.
     pub listen: SocketAddr,
+    /// Where operators call; none where they don't.
+    pub control: Option<SocketAddr>,
+    /// Names of the classes, for operators.
+    pub class_names: Vec<String>,
     /// For random numbers.
     pub seed: u64,
     /// Open files and sockets in all.
@@ -134,6 +138,11 @@
         self.or(key, absent, "microseconds", Value::as_u64).map(Duration::from_micros)
     }
 
+    /// Where operators call, if they do.
+    fn control(&self) -> Result<Option<SocketAddr>, Fault> {
+        self.or("control", None, "host:port", |v| address(v.as_str()?).map(Some))
+    }
+
     /// An address that must be there.
     pub fn address(&self, key: &str) -> Result<SocketAddr, Fault> {
         self.must(key, "host:port", |v| address(v.as_str()?))
@@ -151,8 +160,12 @@
     if !value.is_object() {
         return Err("not a JSON object".into());
     }
-    for (key, variable) in [("name", "EDGE_NAME"), ("listen", "EDGE_LISTEN"), ("discovery", "EDGE_DISCOVERY")]
-    {
+    for (key, variable) in [
+        ("name", "EDGE_NAME"),
+        ("listen", "EDGE_LISTEN"),
+        ("discovery", "EDGE_DISCOVERY"),
+        ("control", "EDGE_CONTROL"),
+    ] {
         if let (true, Some(text)) = (value[key].is_null(), env(variable)) {
             value[key] = Value::String(text);
         }
@@ -183,15 +196,18 @@
         idle: limits.span("connIdle", 30_000_000)?,
         connect: limits.span("connectTimeout", 250_000)?,
     };
+    let names = Names::from_settings(facts);
     Ok(Platform {
         node_list: root.address("discovery")?,
         quota_counter,
-        names: Names::from_settings(facts),
+        names: names.clone(),
         load_fields: load.or("fields", Vec::new(), "a list of names", fields)?,
         most_units: specifics.or("unitsTop", f64::MAX, "a number above 0", above)?,
         common: Common {
             name: root.text("name")?.to_owned(),
             listen: root.address("listen")?,
+            control: root.control()?,
+            class_names: names.classes().to_vec(),
             seed,
             descriptors: (sockets as usize).min(1_024),
             max_open: max_open.clamp(1, MOST_OPEN),
@@ -316,6 +332,8 @@
         common: Common {
             name: root.or("name", "openapi", "text", Value::as_str)?.to_owned(),
             listen: root.address("listen")?,
+            control: root.control()?,
+            class_names: description.class_names.clone(),
             seed: root.whole("seed", u64::from(std::process::id()))?,
             descriptors: (limits.whole("sockets", 1_024)? as usize).min(1_024),
             max_open: (limits.whole("max_open", MOST_OPEN as u64)? as usize).clamp(1, MOST_OPEN),
--- /dev/null
+++ b/src/control/line.rs
@@ -0,0 +1,139 @@
+//! Where operators call: threads of its own, few callers at a time, each for a short time.
+
+use super::{stat, word, Call, LONGEST_CALL};
+use crate::figures::Figures;
+use crate::interface::ServerId;
+use crate::limiter::Order;
+use crate::net::{lock, spawn};
+use crossbeam_channel::{bounded, Sender};
+use slog::{info, warn, Logger};
+use std::collections::VecDeque;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Callers at a time; a further one takes the place of the one that has been there longest without a whole call.
+const CALLERS: usize = 8;
+/// A caller waits a second for its answer: it has half of it for its call, and the core most of the rest.
+const CALL_WAIT: Duration = Duration::from_millis(500);
+const CORE_WAIT: Duration = Duration::from_millis(800);
+/// A caller that does not read its answer is left.
+const WRITE_WAIT: Duration = Duration::from_millis(300);
+/// Wait after a failed accept, as when descriptors run out.
+const ACCEPT_WAIT: Duration = Duration::from_millis(20);
+
+/// What calls are answered from.
+pub struct Desk {
+    /// The figures.
+    pub figures: Arc<Figures>,
+    /// Whether this process can serve.
+    pub ready: Box<dyn Fn() -> bool + Send + Sync>,
+    /// Passes an order to the core.
+    pub order: Box<dyn Fn(Order) + Send + Sync>,
+    /// For what operators changed.
+    pub log: Logger,
+}
+
+/// Listens for operators.
+pub fn listen(at: SocketAddr, desk: Desk) -> std::io::Result<SocketAddr> {
+    let named = |e: std::io::Error| std::io::Error::new(e.kind(), format!("key \"control\": {at}: {e}"));
+    let listener = TcpListener::bind(at).map_err(named)?;
+    let bound = listener.local_addr()?;
+    spawn("control", move || accept(&listener, &Arc::new(desk)))?;
+    Ok(bound)
+}
+
+/// Connections on which no whole call has come yet, the oldest first.
+type Silent = Arc<Mutex<VecDeque<Arc<TcpStream>>>>;
+
+fn accept(listener: &TcpListener, desk: &Arc<Desk>) {
+    let silent = Silent::default();
+    loop {
+        let stream = match listener.accept() {
+            Ok((stream, _)) => Arc::new(stream),
+            Err(fault) => {
+                warn!(desk.log, "accept failed"; "fault" => %fault);
+                thread::sleep(ACCEPT_WAIT);
+                continue;
+            }
+        };
+        {
+            let mut silent = lock(&silent);
+            if silent.len() >= CALLERS {
+                silent.pop_front().into_iter().for_each(|oldest| _ = oldest.shutdown(Shutdown::Both));
+            }
+            silent.push_back(stream.clone());
+        }
+        let (own, at) = (silent.clone(), desk.clone());
+        if let Err(fault) = spawn("control-call", move || at.serve(&stream, &own)) {
+            warn!(desk.log, "no thread for an operator's call"; "fault" => %fault);
+            lock(&silent).clear();
+        }
+    }
+}
+
+/// Reads one line.
+///
+/// Guards against callers that say nothing, half a line or an endless one: each is answered or left in time.
+fn call(mut stream: &TcpStream) -> Result<Vec<u8>, &'static str> {
+    let (began, mut line) = (Instant::now(), Vec::new());
+    loop {
+        let left = CALL_WAIT.saturating_sub(began.elapsed());
+        let mut part = [0; LONGEST_CALL];
+        if left.is_zero() || stream.set_read_timeout(Some(left)).is_err() {
+            return Err("no whole line in time");
+        }
+        match stream.read(&mut part) {
+            // A caller that ends its sending has ended its line.
+            Ok(0) => return Ok(line),
+            Ok(read) => line.extend_from_slice(&part[..read]),
+            Err(fault) if fault.kind() == ErrorKind::Interrupted => {}
+            Err(_) => return Err("no whole line in time"),
+        }
+        if let Some(end) = line.iter().position(|b| *b == b'\n') {
+            line.truncate(end);
+            return Ok(line);
+        }
+        if line.len() > LONGEST_CALL {
+            return Err("the line is too long");
+        }
+    }
+}
+
+impl Desk {
+    fn serve(&self, stream: &Arc<TcpStream>, silent: &Silent) {
+        let call = call(stream);
+        lock(silent).retain(|other| !Arc::ptr_eq(other, stream));
+        let answer = match call.and_then(|line| Call::parse(&line)) {
+            Ok(call) => self.answer(call),
+            Err(why) => word(Err(why)),
+        };
+        _ = stream.set_write_timeout(Some(WRITE_WAIT));
+        _ = (&**stream).write_all(answer.as_bytes());
+        _ = stream.shutdown(Shutdown::Write);
+    }
+
+    fn answer(&self, call: Call) -> String {
+        match call {
+            Call::ShowStat => stat(&self.figures),
+            Call::Ready if (self.ready)() => word(Ok(())),
+            Call::Ready => word(Err("this process can't serve yet")),
+            Call::DisableServer(id) => self.order(id, Order::Disable),
+            Call::EnableServer(id) => self.order(id, Order::Enable),
+        }
+    }
+
+    fn order(&self, id: ServerId, order: impl Fn(ServerId, Sender<bool>) -> Order) -> String {
+        let (told, taken) = bounded(1);
+        let order = order(id, told);
+        info!(self.log, "operator's call"; "order" => ?order);
+        (self.order)(order);
+        word(match taken.recv_timeout(CORE_WAIT) {
+            Ok(true) => Ok(()),
+            Ok(false) => Err("no server of this id was ever listed"),
+            Err(_) => Err("not taken in time; it may still be"),
+        })
+    }
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,108 @@
+//! The operators' line: one call to a connection, answered within a second however busy the limiter is.
+//!
+//! What a call says and how it is answered stands here, without a socket; [`line`] listens. Figures are counters
+//! that are read without the core. What changes something goes to the core by a queue that it looks at first.
+
+pub mod line;
+
+use crate::figures::Figures;
+use crate::interface::ServerId;
+use std::fmt::Write;
+
+/// The longest call that makes sense: the longest word, a blank and the id of a ticket node.
+pub const LONGEST_CALL: usize = 512;
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Call {
+    /// Whether this process can serve.
+    Ready,
+    /// The figures.
+    ShowStat,
+    /// Nothing more to this ticket node.
+    DisableServer(ServerId),
+    /// This ticket node is back.
+    EnableServer(ServerId),
+}
+
+impl Call {
+    /// Reads a line without its end, or says what is wrong with it.
+    pub fn parse(line: &[u8]) -> Result<Call, &'static str> {
+        let text = std::str::from_utf8(line).map_err(|_| "the call is not text")?;
+        let mut words = text.split_ascii_whitespace();
+        let call = match (words.next(), words.next()) {
+            (None, _) => return Err("an empty line is no call"),
+            (Some("ready"), None) => Call::Ready,
+            (Some("show-stat"), None) => Call::ShowStat,
+            (Some("disable-server"), Some(id)) => Call::DisableServer(id.into()),
+            (Some("enable-server"), Some(id)) => Call::EnableServer(id.into()),
+            (Some("disable-server" | "enable-server"), None) => return Err("the id of a server is missing"),
+            (Some("ready" | "show-stat"), Some(_)) => return Err("this call takes no further word"),
+            _ => return Err("unknown call: ready, show-stat, disable-server ID or enable-server ID"),
+        };
+        match words.next() {
+            None => Ok(call),
+            Some(_) => Err("this call takes no further word"),
+        }
+    }
+}
+
+/// The answer to a call that was carried out, or not, and why.
+pub fn word(done: Result<(), &str>) -> String {
+    match done {
+        Ok(()) => "YES\n".into(),
+        Err(why) => format!("NO {why}\n"),
+    }
+}
+
+/// The answer to `show-stat`.
+pub fn stat(figures: &Figures) -> String {
+    let mut text = String::new();
+    for (name, value) in figures.all() {
+        _ = writeln!(text, "limiter.{name}={value}");
+    }
+    text + "END\n"
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::figures::End;
+
+    #[test]
+    fn calls_are_read_to_the_word() {
+        let node = || ServerId::from("s-5be2a07c");
+        assert_eq!(Call::parse(b"ready\r"), Ok(Call::Ready));
+        assert_eq!(Call::parse(b"show-stat"), Ok(Call::ShowStat));
+        assert_eq!(Call::parse(b"disable-server s-5be2a07c"), Ok(Call::DisableServer(node())));
+        assert_eq!(Call::parse(b"enable-server  s-5be2a07c "), Ok(Call::EnableServer(node())));
+        let bad: [&[u8]; 8] = [
+            b"",
+            b"  ",
+            b"READY",
+            b"ready now",
+            b"show-stat all",
+            b"disable-server",
+            b"enable-server a b",
+            b"\xff",
+        ];
+        for line in bad {
+            let why = Call::parse(line).expect_err("no such call");
+            assert!(word(Err(why)).starts_with("NO "), "{line:?}");
+        }
+    }
+
+    #[test]
+    fn each_request_is_counted_once_at_its_end() {
+        let figures = Figures::new(vec!["look".into(), "pay".into()]);
+        let (served, gone, open) = (figures.taken(0), figures.taken(1), figures.taken(1));
+        served.told(End::Served);
+        drop(gone);
+        figures.attempt();
+        figures.servers(3, 1);
+        insta::assert_snapshot!(stat(&figures));
+        open.told(End::Refused);
+        assert!(figures.all().contains(&("requests.pay.refused".into(), 1)));
+        assert!(figures.all().contains(&("in_flight".into(), 0)));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,8 @@
 #![warn(missing_docs)]
 
 pub mod config;
+pub mod control;
+pub mod figures;
 pub mod hush;
 pub mod interface;
 pub mod limiter;
--- /dev/null
+++ b/src/limiter/bans.rs
@@ -0,0 +1,117 @@
+//! Ticket nodes that operators have taken out, laid over whatever the node list says of them.
+
+use crate::interface::*;
+use std::collections::{HashMap, HashSet};
+
+/// Ids kept of nodes that were ever listed; beyond these the ones that are gone are forgotten.
+const MOST_IDS: usize = 8_192;
+
+/// What the node list says, and what operators say.
+#[derive(Debug, Default)]
+pub(crate) struct Bans {
+    /// As the list has them, without those that are gone.
+    listed: HashMap<ServerId, Member>,
+    /// Every id that was listed.
+    ever: HashSet<ServerId>,
+    out: HashSet<ServerId>,
+    /// Nodes that were put back, and when: they were restarted meanwhile, whenever the list tells.
+    back: HashMap<ServerId, Micros>,
+}
+
+impl Bans {
+    /// Takes news of the list; what the decision module is to hear of it.
+    pub(crate) fn news(&mut self, scope: Scope, members: Vec<Member>) -> Vec<Member> {
+        if matches!(scope, Scope::Full | Scope::Kept) {
+            self.listed.clear();
+        }
+        for member in &members {
+            match member.readiness {
+                Readiness::Gone => _ = self.listed.remove(&member.id),
+                _ => _ = self.listed.insert(member.id.clone(), member.clone()),
+            }
+            self.ever.insert(member.id.clone());
+        }
+        if self.ever.len() > MOST_IDS {
+            let (listed, out) = (&self.listed, &self.out);
+            self.ever.retain(|id| listed.contains_key(id) || out.contains(id));
+            self.back.retain(|id, _| listed.contains_key(id));
+        }
+        members.into_iter().map(|member| self.laid_over(member)).collect()
+    }
+
+    fn laid_over(&self, mut member: Member) -> Member {
+        if self.out.contains(&member.id) && member.readiness == Readiness::Ready {
+            member.readiness = Readiness::Draining;
+        }
+        if let Some(back) = self.back.get(&member.id) {
+            member.started = member.started.max(*back);
+        }
+        member
+    }
+
+    /// Takes a node out; none if it was never listed, else what the module is to hear.
+    pub(crate) fn disable(&mut self, id: &ServerId) -> Option<Vec<Member>> {
+        if !self.ever.contains(id) {
+            return None;
+        }
+        self.out.insert(id.clone());
+        Some(self.listed.get(id).map(|m| self.laid_over(m.clone())).into_iter().collect())
+    }
+
+    /// Puts a node back as one that has just started; none if it was never listed.
+    pub(crate) fn enable(&mut self, id: &ServerId, now: Micros) -> Option<Vec<Member>> {
+        if !self.ever.contains(id) {
+            return None;
+        }
+        if !self.out.remove(id) {
+            return Some(Vec::new());
+        }
+        self.back.insert(id.clone(), now);
+        Some(self.listed.get(id).map(|m| self.laid_over(m.clone())).into_iter().collect())
+    }
+
+    /// Listed nodes, and those of them that nothing new goes to.
+    pub(crate) fn counts(&self) -> (usize, usize) {
+        let avoided = |m: &&Member| m.readiness != Readiness::Ready || self.out.contains(&m.id);
+        (self.listed.len(), self.listed.values().filter(avoided).count())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn node(id: &str, readiness: Readiness) -> Member {
+        Member { id: id.into(), zone: String::new(), cell: 0, readiness, weight: 1.0, started: 5 }
+    }
+
+    fn told(members: &[Member]) -> Vec<(&str, Readiness, Micros)> {
+        members.iter().map(|m| (&*m.id.0, m.readiness, m.started)).collect()
+    }
+
+    #[test]
+    fn a_node_taken_out_stays_out_whatever_the_list_says_until_one_call_back() {
+        use Readiness::{Draining, Gone, Ready};
+        let mut bans = Bans::default();
+        let (a, b) = (ServerId::from("a"), ServerId::from("b"));
+        bans.news(Scope::Full, vec![node("a", Ready), node("b", Ready)]);
+        assert_eq!(bans.disable(&"never".into()), None);
+        // Repeated calls are harmless, and one call back ends the ban.
+        bans.disable(&a);
+        assert_eq!(told(&bans.disable(&a).expect("listed")), [("a", Draining, 5)]);
+        assert_eq!(bans.counts(), (2, 1));
+        // Told again, a whole list, gone, and back under its id.
+        assert_eq!(told(&bans.news(Scope::Changes, vec![node("a", Ready)])), [("a", Draining, 5)]);
+        let whole = bans.news(Scope::Full, vec![node("a", Ready), node("b", Ready)]);
+        assert_eq!(told(&whole), [("a", Draining, 5), ("b", Ready, 5)]);
+        assert_eq!(told(&bans.news(Scope::Changes, vec![node("a", Gone)])), [("a", Gone, 5)]);
+        assert_eq!(bans.counts(), (1, 0));
+        assert_eq!(told(&bans.news(Scope::Changes, vec![node("a", Ready)])), [("a", Draining, 5)]);
+        // Back as a node that has just started, also where the list knows nothing of that.
+        assert_eq!(told(&bans.enable(&a, 77).expect("listed")), [("a", Ready, 77)]);
+        assert_eq!(told(&bans.news(Scope::Changes, vec![node("a", Ready)])), [("a", Ready, 77)]);
+        // What was not out is left as it is.
+        assert_eq!(bans.enable(&b, 78), Some(Vec::new()));
+        assert_eq!(bans.counts(), (2, 0));
+    }
+}
--- a/src/limiter/mod.rs
+++ b/src/limiter/mod.rs
@@ -4,6 +4,7 @@
 //! stands behind [`Edges`] and reaches the core through its queue of [`Input`]s alone; the one thread that
 //! runs [`Core::run`] owns the module.
 
+mod bans;
 mod timers;
 
 pub use timers::Clock;
@@ -11,6 +12,7 @@
 use crate::hush::Hush;
 use crate::interface::*;
 use crate::Gateway;
+use bans::Bans;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use slog::{info, warn, Logger};
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -70,6 +72,10 @@
     fn cancel(&mut self, attempt: AttemptId) -> bool;
     /// Asks a ticket node for its load.
     fn probe(&mut self, node: &ServerId);
+    /// Nothing more is to go to this ticket node, not even what has been started and is not written yet.
+    fn bar(&mut self, node: &ServerId);
+    /// So many ticket nodes are listed, and so many of them avoided.
+    fn listed(&mut self, known: usize, excluded: usize);
     /// Adds to a count; `call` comes back with the total.
     fn add(&mut self, call: u64, name: u64, by: f64, ttl: Duration);
 }
@@ -102,6 +108,16 @@
     pub call: E::Call,
 }
 
+/// An operator's word to the core, which looks at these before anything else. It is told false if no such node was
+/// ever listed.
+#[derive(Clone, Debug)]
+pub enum Order {
+    /// Take a ticket node out.
+    Disable(ServerId, Sender<bool>),
+    /// Put it back.
+    Enable(ServerId, Sender<bool>),
+}
+
 /// What reaches the core.
 pub enum Input<E: Edges> {
     /// News of the node list.
@@ -141,6 +157,8 @@
         /// The total, with [`Outcome::Ok`].
         total: f64,
     },
+    /// There is an order.
+    Ordered,
     /// Answer what is open and come to an end, by this moment at the latest.
     Stop(Instant),
 }
@@ -176,6 +194,7 @@
 /// The owner of the decision module.
 pub struct Core<E: Edges> {
     gateway: Gateway,
+    bans: Bans,
     edges: E,
     clock: Clock,
     log: Logger,
@@ -216,6 +235,7 @@
             max_attempts: settings.limits.max_attempts.max(1) as usize,
             counter_timeout: settings.counter_timeout.max(1_000),
             gateway: Gateway::new(settings, seed),
+            bans: Bans::default(),
             edges,
             clock,
             log,
@@ -236,13 +256,16 @@
     }
 
     /// Runs until it is stopped and everything open is answered.
-    pub fn run(mut self, inputs: Receiver<Input<E>>) {
+    pub fn run(mut self, inputs: Receiver<Input<E>>, orders: Receiver<Order>) {
         while !self.quiet || !self.open.is_empty() {
             let input = match self.timers.next() {
                 Some(at) => inputs.recv_deadline(self.clock.moment(at)),
                 None => inputs.recv().map_err(|_| RecvTimeoutError::Disconnected),
             };
             let now = self.clock.now();
+            for order in orders.try_iter() {
+                self.obey(now, order);
+            }
             match input {
                 Ok(input) => self.take(now, input),
                 Err(RecvTimeoutError::Timeout) => {}
@@ -258,7 +281,8 @@
         match input {
             Input::Nodes(scope, members) => {
                 let known = members.iter().any(|m| m.readiness == Readiness::Ready);
-                self.tell(now, Event::Members { scope, members });
+                let members = self.bans.news(scope, members);
+                self.listed(now, scope, members);
                 if known {
                     _ = self.ready.try_send(());
                 }
@@ -283,6 +307,8 @@
                     self.tell(now, Event::Counted { name, total, outcome });
                 }
             }
+            // Looked at already.
+            Input::Ordered => {}
             Input::Stop(by) => {
                 info!(self.log, "stopping"; "open" => self.open.len());
                 self.timers.set(now + STILL_READ, Due::Quiet);
@@ -291,6 +317,26 @@
         }
     }
 
+    /// Guards against an order that waits behind a crowd of requests: the operator is owed an answer in a second.
+    fn obey(&mut self, now: Micros, order: Order) {
+        let (members, told) = match order {
+            Order::Disable(node, told) => {
+                self.edges.bar(&node);
+                (self.bans.disable(&node), told)
+            }
+            Order::Enable(node, told) => (self.bans.enable(&node, now), told),
+        };
+        let known = members.is_some();
+        self.listed(now, Scope::Changes, members.unwrap_or_default());
+        _ = told.try_send(known);
+    }
+
+    fn listed(&mut self, now: Micros, scope: Scope, members: Vec<Member>) {
+        self.tell(now, Event::Members { scope, members });
+        let (known, excluded) = self.bans.counts();
+        self.edges.listed(known, excluded);
+    }
+
     fn admit(&mut self, now: Micros, incoming: Incoming<E>) {
         let arrived = self.clock.at(incoming.arrived).min(now);
         let deadline = arrived + incoming.budget.as_micros() as Micros;
--- a/src/net/agents.rs
+++ b/src/net/agents.rs
@@ -86,6 +86,9 @@
                             return malformed(desk, fault);
                         }
                         desk.complain(fault);
+                        let fields = String::from_utf8_lossy(&buffer[words[FIELDS].clone()]);
+                        let class = fields.split(',').find_map(|f| self.names.class(f.strip_prefix("c=")?));
+                        class.into_iter().for_each(|class| desk.failed(class));
                         if !desk.say((), Reply::words(&format!("-ERR {fault}\r\n"))) {
                             return;
                         }
@@ -94,7 +97,7 @@
                     }
                 };
                 bad = 0;
-                let Some((number, client)) = desk.place(()) else { return };
+                let Some((number, client)) = desk.place((), asked.class) else { return };
                 let text = |at: usize| String::from_utf8_lossy(&buffer[words[at].clone()]);
                 let (account, id) = (CustomerId::from(&*text(ACCOUNT)), RequestId::from(&*text(ID)));
                 // The command goes on in the buffer that it came in; what follows it moves to a new one.
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -10,6 +10,7 @@
 use super::ticket_nodes::Speech;
 use super::wiring::{Queue, Wiring};
 use super::{lock, spawn};
+use crate::figures::{End, Figures, Tally};
 use crate::hush::Hush;
 use crate::limiter::{Answer, Incoming, Input};
 use crossbeam_channel::{bounded, unbounded, Receiver, Sender};
@@ -107,14 +108,16 @@
 
 type ValueOf<M> = <<M as Manner>::Speech as Speech>::Value;
 
-/// A command that is owed an answer: its number, what the writer has to know, where the answer comes from.
-type Owed<M> = (u64, <M as Manner>::Shape, Receiver<Reply<ValueOf<M>>>);
+/// A command that is owed an answer: its number, what the writer has to know, where the answer comes from, and where a
+/// request is counted.
+type Owed<M> = (u64, <M as Manner>::Shape, Receiver<Reply<ValueOf<M>>>, Option<Tally>);
 
 /// A front.
 pub struct Front<M: Manner> {
     manner: M,
     most: usize,
     queue: Queue<M::Speech>,
+    figures: Arc<Figures>,
     ready: AtomicBool,
     closing: AtomicBool,
     numbers: AtomicU64,
@@ -161,16 +164,18 @@
 }
 
 impl<M: Manner> Desk<'_, M> {
-    /// Takes the next place in the order of answers for a request; none if the connection is closing, and what was
-    /// read is not taken.
-    pub fn place(&self, shape: M::Shape) -> Option<(u64, Slot<ValueOf<M>>)> {
+    /// Takes the next place in the order of answers for a request of this class; none if the connection is closing,
+    /// and what was read is not taken.
+    pub fn place(&self, shape: M::Shape, class: usize) -> Option<(u64, Slot<ValueOf<M>>)> {
         let (slot, answer) = bounded(1);
         let number = self.front.numbers.fetch_add(1, Ordering::Relaxed);
-        if self.link.begin()? > PIPELINED {
+        let owed = self.link.begin()?;
+        let tally = self.front.figures.taken(class);
+        if owed > PIPELINED {
             self.dismiss(Dismissal::TooMany);
             return None;
         }
-        (self.writer()?.send((number, shape, answer)).is_ok()).then_some((number, slot))
+        (self.writer()?.send((number, shape, answer, Some(tally))).is_ok()).then_some((number, slot))
     }
 
     /// Says the front's own words in their place; false if the connection is closing.
@@ -214,7 +219,7 @@
             (Some((slots, _)), words) => {
                 let (slot, answer) = bounded(1);
                 _ = slot.send(words);
-                slots.send((0, shape, answer)).is_ok()
+                slots.send((0, shape, answer, None)).is_ok()
             }
             (None, Reply::Words { text, last }) => {
                 (&self.link.stream).write_all(&text).is_ok() && self.link.end(0, closing) && !last
@@ -252,6 +257,11 @@
         self.writer.get().map(|(slots, _)| slots)
     }
 
+    /// A request of this class is answered as failed by the front itself.
+    pub fn failed(&self, class: usize) {
+        drop(self.front.figures.taken(class));
+    }
+
     /// Passes a request to the core.
     pub fn ask(&self, request: Incoming<Wiring<M::Speech>>) {
         lock(&self.link.state).waiting.push(request.number);
@@ -260,7 +270,7 @@
 
     /// The limiter knows a node list.
     pub fn ready(&self) -> bool {
-        self.front.ready.load(Ordering::Relaxed)
+        self.front.is_ready()
     }
 
     /// Logs what is wrong with an agent's input, but not every time.
@@ -273,11 +283,18 @@
 
 impl<M: Manner> Front<M> {
     /// A front for at most so many connections.
-    pub fn new(manner: M, most: usize, queue: Queue<M::Speech>, log: Logger) -> Arc<Self> {
+    pub fn new(
+        manner: M,
+        most: usize,
+        queue: Queue<M::Speech>,
+        figures: Arc<Figures>,
+        log: Logger,
+    ) -> Arc<Self> {
         Arc::new(Self {
             manner,
             most,
             queue,
+            figures,
             ready: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             numbers: AtomicU64::new(0),
@@ -306,6 +323,11 @@
         self.ready.store(true, Ordering::Relaxed);
     }
 
+    /// The limiter knows a node list and takes requests.
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed)
+    }
+
     /// Closes every connection that owes nothing, and each other once it has answered.
     pub fn close_idle(&self) {
         self.closing.store(true, Ordering::SeqCst);
@@ -469,9 +491,14 @@
 
     /// Writes answers in order; true if the connection ends by the limiter's own choice.
     fn write(&self, link: &Link, owed: &Receiver<Owed<M>>) -> bool {
-        for (number, shape, answer) in owed {
+        for (number, shape, answer, tally) in owed {
             let goes_on = match answer.recv().unwrap_or(Reply::Answer(Answer::Failed { late: false })) {
-                Reply::Answer(answer) => self.manner.write(&link.stream, shape, answer),
+                Reply::Answer(answer) => {
+                    let end = end(&answer);
+                    let written = self.manner.write(&link.stream, shape, answer);
+                    tally.filter(|_| written.is_ok()).into_iter().for_each(|tally| tally.told(end));
+                    written
+                }
                 Reply::Words { text, last } => (&link.stream).write_all(&text).map(|()| !last),
             };
             match goes_on {
@@ -484,6 +511,15 @@
     }
 }
 
+/// How an answer is counted once it is written whole.
+fn end<V>(answer: &Answer<V>) -> End {
+    match answer {
+        Answer::Served(_) => End::Served,
+        Answer::Refused { .. } => End::Refused,
+        Answer::Failed { .. } => End::Failed,
+    }
+}
+
 impl Link {
     /// A command has been read; how many are owed an answer with it, or none if the connection is closing and the
     /// command is not taken.
--- a/src/net/ticket_nodes.rs
+++ b/src/net/ticket_nodes.rs
@@ -3,6 +3,7 @@
 use super::wiring::Queue;
 use super::{lock, spawn};
 use crate::config::{Links, NodeNews};
+use crate::figures::Figures;
 use crate::hush::Hush;
 use crate::interface::{Outcome, Readiness, ServerId};
 use crate::limiter::{AttemptId, Input};
@@ -71,6 +72,7 @@
     most: usize,
     speech: S,
     queue: Queue<S>,
+    figures: Arc<Figures>,
     log: Logger,
     full: Hush,
 }
@@ -93,8 +95,8 @@
 }
 
 /// A connection as the one who cancels sees it.
-#[derive(Default)]
 struct Line {
+    node: ServerId,
     state: Mutex<LineState>,
 }
 
@@ -103,6 +105,8 @@
     /// There once writing has begun.
     stream: Option<Arc<TcpStream>>,
     cancelled: bool,
+    /// The node was taken out before a byte was written: nothing is.
+    barred: bool,
 }
 
 enum Job<C> {
@@ -112,9 +116,17 @@
 
 impl<S: Speech> TicketNodes<S> {
     /// Ticket nodes, none known yet; `most` connections to all of them together.
-    pub fn new(links: Links, most: usize, speech: S, queue: Queue<S>, log: Logger) -> Self {
+    pub fn new(
+        links: Links,
+        most: usize,
+        speech: S,
+        queue: Queue<S>,
+        figures: Arc<Figures>,
+        log: Logger,
+    ) -> Self {
         let book = Mutex::new(Book { nodes: HashMap::new(), running: HashMap::new(), lines: 0 });
-        Self { shared: Arc::new(Shared { book, links, most, speech, queue, log, full: Hush::default() }) }
+        let full = Hush::default();
+        Self { shared: Arc::new(Shared { book, links, most, speech, queue, figures, log, full }) }
     }
 
     /// Takes news of the node list. A node that is gone or absent from a full list loses its idle connections.
@@ -138,7 +150,7 @@
 
     /// Starts an attempt on an idle connection, or on a new one.
     pub fn start(&self, attempt: AttemptId, node: &ServerId, call: Arc<S::Call>, ends: Instant) {
-        let line = Arc::new(Line::default());
+        let line = Arc::new(Line { node: node.clone(), state: Mutex::default() });
         lock(&self.shared.book).running.insert(attempt, line.clone());
         if let Err(outcome) = self.give(node, Job::Attempt { attempt, call, ends, line }) {
             lock(&self.shared.book).running.remove(&attempt);
@@ -158,6 +170,12 @@
         state.stream.is_some()
     }
 
+    /// Keeps what has been started for a node, and waits for its connection, from being written.
+    pub fn bar(&self, node: &ServerId) {
+        let book = lock(&self.shared.book);
+        book.running.values().filter(|l| l.node == *node).for_each(|line| lock(&line.state).barred = true);
+    }
+
     /// Asks a node for its load.
     pub fn probe(&self, node: &ServerId) {
         if let Err(outcome) = self.give(node, Job::Probe) {
@@ -270,11 +288,17 @@
             if state.cancelled {
                 return Exchange::broke(Outcome::Cancelled);
             }
+            if state.barred {
+                return Exchange::broke(Outcome::ConnectFailed);
+            }
             state.stream = Some(stream.clone());
         }
         let left = ends.saturating_duration_since(Instant::now());
         match self.shared.speech.write(call, &stream, left) {
-            Ok(()) => self.shared.speech.read(call, &stream),
+            Ok(()) => {
+                self.shared.figures.attempt();
+                self.shared.speech.read(call, &stream)
+            }
             Err(_) => Exchange::broke(Outcome::ConnectFailed),
         }
     }
--- a/src/net/wiring.rs
+++ b/src/net/wiring.rs
@@ -4,8 +4,10 @@
 use super::front::{Front, Manner, Reply, Slot};
 use super::ticket_nodes::{Speech, TicketNodes};
 use crate::config::{Common, NodeNews};
+use crate::control::line::{self, Desk};
+use crate::figures::Figures;
 use crate::interface::{Scope, ServerId};
-use crate::limiter::{Answer, AttemptId, Clock, Core, Edges, Input};
+use crate::limiter::{Answer, AttemptId, Clock, Core, Edges, Input, Order};
 use crossbeam_channel::{bounded, unbounded, Receiver, Sender};
 use slog::{info, o, Logger};
 use std::io;
@@ -28,6 +30,7 @@
 pub struct Wiring<S: Speech> {
     nodes: TicketNodes<S>,
     counter: Option<CountLines>,
+    figures: Arc<Figures>,
 }
 
 impl<S: Speech> Edges for Wiring<S> {
@@ -52,6 +55,14 @@
         self.nodes.probe(node);
     }
 
+    fn bar(&mut self, node: &ServerId) {
+        self.nodes.bar(node);
+    }
+
+    fn listed(&mut self, known: usize, excluded: usize) {
+        self.figures.servers(known, excluded);
+    }
+
     fn add(&mut self, call: u64, name: u64, by: f64, ttl: Duration) {
         if let Some(counter) = &self.counter {
             counter.add(Addition { call, name, by, ttl });
@@ -66,12 +77,15 @@
 pub struct Limiter<M: Manner> {
     core: Core<Wiring<M::Speech>>,
     inputs: Receiver<Input<Wiring<M::Speech>>>,
+    orders: Receiver<Order>,
     front: Arc<Front<M>>,
     queue: Queue<M::Speech>,
     nodes: TicketNodes<M::Speech>,
     counter: Option<CountLines>,
     /// Where it listens.
     pub bound: SocketAddr,
+    /// Where operators call.
+    pub control: Option<SocketAddr>,
 }
 
 impl<M: Manner> Limiter<M> {
@@ -83,14 +97,17 @@
         counter: impl FnOnce(super::count_lines::Counted) -> io::Result<Option<CountLines>>,
         log: &Logger,
     ) -> io::Result<Self> {
-        let (queue, inputs) = unbounded();
+        let ((queue, inputs), (to_core, orders)) = (unbounded(), unbounded());
+        let figures = Figures::new(common.class_names);
         let (for_agents, for_nodes) = shares(common.descriptors);
         let nodes_log = log.new(o!("part" => "nodes"));
-        let nodes = TicketNodes::new(common.links, for_nodes, speech, queue.clone(), nodes_log);
+        let nodes =
+            TicketNodes::new(common.links, for_nodes, speech, queue.clone(), figures.clone(), nodes_log);
         let to = queue.clone();
         let counted = move |call, outcome, total| _ = to.send(Input::Counted { call, outcome, total });
         let counter = counter(Arc::new(counted))?;
-        let front = Front::new(manner, for_agents, queue.clone(), log.new(o!("part" => "agents")));
+        let agents_log = log.new(o!("part" => "agents"));
+        let front = Front::new(manner, for_agents, queue.clone(), figures.clone(), agents_log);
         let (ready, first_list) = bounded(1);
         let own = front.clone();
         super::spawn("ready", move || {
@@ -100,12 +117,23 @@
         })?;
         learn(&nodes, &queue, Scope::Kept, common.known);
         let bound = front.listen(common.listen)?;
+        let (own, wake) = (front.clone(), queue.clone());
+        let desk = || Desk {
+            figures: figures.clone(),
+            ready: Box::new(move || own.is_ready()),
+            order: Box::new(move |order| {
+                _ = to_core.send(order);
+                _ = wake.send(Input::Ordered);
+            }),
+            log: log.new(o!("part" => "control")),
+        };
+        let control = common.control.map(|at| line::listen(at, desk())).transpose()?;
         info!(log, "listening"; "at" => %bound, "limiter" => common.name);
-        let edges = Wiring { nodes: nodes.clone(), counter: counter.clone() };
+        let edges = Wiring { nodes: nodes.clone(), counter: counter.clone(), figures };
         let core_log = log.new(o!("part" => "core"));
         let clock = Clock::start();
         let core = Core::new(common.settings, common.seed, common.max_open, edges, clock, ready, core_log);
-        Ok(Self { core, inputs, front, queue, nodes, counter, bound })
+        Ok(Self { core, inputs, orders, front, queue, nodes, counter, bound, control })
     }
 
     /// Takes news of the node list while the limiter runs.
@@ -135,7 +163,7 @@
 
     /// Runs the core on this thread until it is stopped; then waits for the last answers to be written.
     pub fn run(self) {
-        self.core.run(self.inputs);
+        self.core.run(self.inputs, self.orders);
         self.front.wait_closed(LAST_ANSWERS);
     }
 }
--- a/src/openapi/agents.rs
+++ b/src/openapi/agents.rs
@@ -106,7 +106,7 @@
                     continue;
                 }
             };
-            let Some((number, client)) = desk.place(shape) else { return };
+            let Some((number, client)) = desk.place(shape, operation.class) else { return };
             // The core has the node list of the file before any request.
             let budget = self.description.classes.get(operation.class).map_or(0, |class| class.deadline);
             desk.ask(Incoming {
--- a/src/openapi/description.rs
+++ b/src/openapi/description.rs
@@ -66,6 +66,8 @@
 pub struct Description {
     /// Classes as the decision module takes them.
     pub classes: Vec<Class>,
+    /// And what operators know them by.
+    pub class_names: Vec<String>,
     /// Operations that do not say whether they may be repeated.
     pub unmarked: Vec<String>,
     paths: Vec<Path>,
@@ -261,6 +263,10 @@
             None => {
                 let class = self.class(class, effect, &class_place)?;
                 made.classes.push(class);
+                // One class for operations that may and may not be repeated is two.
+                let again = made.class_names.iter().any(|name| name == class_name);
+                let name = if again { format!("{class_name}-{effect}") } else { class_name.to_owned() };
+                made.class_names.push(name);
                 self.classes.insert(at, made.classes.len() - 1);
                 made.classes.len() - 1
             }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -193,9 +193,9 @@
         let (step, class) = (self.step(), &self.cfg.classes[request.class]);
         let elapsed = self.paces[request.class].elapsed(request.budget, class.deadline);
         let late = elapsed >= class.aim;
-        // A later try whose first is past its aim earns nothing, one with less time than a look takes is lost
-        // if kept: both are refused at once, before they take quota or servers.
-        if request.budget < 4 * step || (late && class.late_worth <= 0.0) {
+        // A later try whose first is past its aim earns nothing, one with less time than a look takes is lost if
+        // kept, and with every server taken out there is none to wait for: refused at once, before they take quota.
+        if request.budget < 4 * step || (late && class.late_worth <= 0.0) || self.all_out() {
             act.push(Action::Refuse { id: request.id, after: self.come_back() });
             return;
         }
@@ -646,6 +646,11 @@
         self.fleet() / f64::from(self.cfg.gateways.max(1))
     }
 
+    /// All that the list has is taken out: an empty list may only be late, and is waited for.
+    fn all_out(&self) -> bool {
+        self.servers.values().any(|s| s.drains) && self.servers.values().all(|s| !s.ready)
+    }
+
     /// Servers that take work, one at least: what is drained or gone carries no load.
     fn fleet(&self) -> f64 {
         self.servers.values().filter(|s| s.ready).count().max(1) as f64
@@ -776,9 +781,14 @@
             }
             server.leave(now);
             server.ready = member.readiness == Readiness::Ready;
+            server.drains = member.readiness == Readiness::Draining;
             (server.started, server.weight) = (member.started, member.weight);
             (server.zone, server.cell) = (member.zone, member.cell);
         }
+        let left = self.queue.iter().map(|(_, id)| id.clone()).filter(|_| self.all_out());
+        for id in left.collect::<Vec<_>>() {
+            self.finish(&id, End::Turned { after: self.come_back() }, act);
+        }
         if self.depth == 0.0 && !self.servers.is_empty() {
             self.depth = self.least_depth().max(1.0);
         }
@@ -1014,7 +1024,7 @@
     /// Takes nothing new from now on, unless the list says so again.
     fn leave(&mut self, now: Micros) {
         self.left = if self.ready { now } else { self.left };
-        self.ready = false;
+        (self.ready, self.drains) = (false, false);
     }
 
     /// The part of its capacity that a cold server has at least; none for a warm one.
--- a/src/state.rs
+++ b/src/state.rs
@@ -98,6 +98,8 @@
     pub(crate) zone: String,
     pub(crate) cell: u64,
     pub(crate) ready: bool,
+    /// Listed, and takes nothing new.
+    pub(crate) drains: bool,
     /// When it was last ready, if it is not.
     pub(crate) left: Micros,
     pub(crate) weight: f64,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -266,6 +266,11 @@
         Names { classes: names("classes"), plans: names("tariffs") }
     }
 
+    /// The names of the classes, in the order of their numbers.
+    pub fn classes(&self) -> &[String] {
+        &self.classes
+    }
+
     /// The number of a class.
     pub fn class(&self, name: &str) -> Option<usize> {
         self.classes.iter().position(|n| n == name)
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -1,6 +1,6 @@
 //! Stories of the core alone: its edges are played by the test, nothing goes over a socket.
 
-use crossbeam_channel::{bounded, unbounded, Receiver, Sender};
+use crossbeam_channel::{bounded, never, unbounded, Receiver, Sender};
 use mossrill::interface::*;
 use mossrill::limiter::{Answer, AttemptId, Clock, Core, Edges, Incoming, Input};
 use slog::{o, Discard, Logger};
@@ -33,6 +33,10 @@
 
     fn probe(&mut self, _: &ServerId) {}
 
+    fn bar(&mut self, _: &ServerId) {}
+
+    fn listed(&mut self, _: usize, _: usize) {}
+
     fn add(&mut self, _: u64, _: u64, _: f64, _: Duration) {}
 }
 
@@ -61,7 +65,7 @@
     inputs.into_iter().for_each(|input| _ = queue.send(input));
     let (edges, log) = (Played { answers, started }, Logger::root(Discard, o!()));
     thread::spawn(move || {
-        Core::new(settings, 7, max_open, edges, Clock::start(), bounded(1).0, log).run(taken);
+        Core::new(settings, 7, max_open, edges, Clock::start(), bounded(1).0, log).run(taken, never());
     });
     (queue, told, attempts)
 }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -241,6 +241,20 @@
     assert_eq!(refused(&bench.pass(2_000_000)), 1);
 }
 
+#[test]
+fn with_every_server_taken_out_requests_are_refused_at_once() {
+    // Those that wait, and those that come: there is nothing to be waited for.
+    let mut bench = Bench::new(settings(), 1);
+    let mut out = member("s0", "z0");
+    out.readiness = Readiness::Draining;
+    bench.ask("first", 0, 0, "a");
+    bench.ask("waits", 0, 0, "a");
+    let acts = bench.on(Event::Members { scope: Scope::Changes, members: vec![out] });
+    assert_eq!((refused(&acts), sends(&acts).len()), (1, 0));
+    let acts = bench.ask("comes", 0, 0, "a");
+    assert!(matches!(acts[..], [Action::Refuse { .. }]), "{acts:?}");
+}
+
 #[test]
 fn a_sent_request_is_not_held_to_wait_still() {
     // A sent request that stayed among its customer's waiting ones was queued, sent and claimed once more.
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -179,14 +179,15 @@
 /// A limiter that runs in this process until it is dropped or stopped.
 pub struct Running {
     pub at: SocketAddr,
+    pub control: Option<SocketAddr>,
     stopper: Option<Stopper>,
     core: JoinHandle<()>,
 }
 
 impl Running {
     fn new<M: Manner, C>((limiter, _): (Limiter<M>, Reload<C>)) -> Self {
-        let (at, stopper) = (limiter.bound, Some(limiter.stopper()));
-        Self { at, stopper, core: thread::spawn(move || limiter.run()) }
+        let (at, control, stopper) = (limiter.bound, limiter.control, Some(limiter.stopper()));
+        Self { at, control, stopper, core: thread::spawn(move || limiter.run()) }
     }
 
     /// Says that it is to stop, and waits until it has.
