--- a/src/config.rs
+++ b/src/config.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 use std::collections::HashMap;
 use std::net::{SocketAddr, ToSocketAddrs};
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// What is wrong, in words that name the key.
@@ -35,6 +36,8 @@
     pub listen: SocketAddr,
     /// Where operators call; none where they don't.
     pub control: Option<SocketAddr>,
+    /// The folder that this process has in common with the one that it replaces or that replaces it.
+    pub common_folder: Option<PathBuf>,
     /// Names of the classes, for operators.
     pub class_names: Vec<String>,
     /// For random numbers.
@@ -207,6 +210,7 @@
             name: root.text("name")?.to_owned(),
             listen: root.address("listen")?,
             control: root.control()?,
+            common_folder: None,
             class_names: names.classes().to_vec(),
             seed,
             descriptors: (sockets as usize).min(1_024),
@@ -333,6 +337,7 @@
             name: root.or("name", "openapi", "text", Value::as_str)?.to_owned(),
             listen: root.address("listen")?,
             control: root.control()?,
+            common_folder: None,
             class_names: description.class_names.clone(),
             seed: root.whole("seed", u64::from(std::process::id()))?,
             descriptors: (limits.whole("sockets", 1_024)? as usize).min(1_024),
--- a/src/figures.rs
+++ b/src/figures.rs
@@ -42,6 +42,11 @@
         self.attempts.fetch_add(1, Relaxed);
     }
 
+    /// Requests taken whose answer is not written.
+    pub fn in_flight(&self) -> u64 {
+        self.in_flight.load(Relaxed)
+    }
+
     /// So many ticket nodes are listed, and so many of them avoided now.
     pub fn servers(&self, known: usize, excluded: usize) {
         self.servers[0].store(known, Relaxed);
--- a/src/limiter/bans.rs
+++ b/src/limiter/bans.rs
@@ -1,5 +1,6 @@
 //! Ticket nodes that operators have taken out, laid over whatever the node list says of them.
 
+use crate::handover::message::Ban;
 use crate::interface::*;
 use std::collections::{HashMap, HashSet};
 
@@ -70,6 +71,28 @@
         Some(self.listed.get(id).map(|m| self.laid_over(m.clone())).into_iter().collect())
     }
 
+    /// All that operators have said, for a successor.
+    pub(crate) fn all(&self) -> Vec<Ban> {
+        let ban = |id: &ServerId, out, at| Ban { id: id.0.to_string(), out, at };
+        let back = self.back.iter().filter(|(id, _)| !self.out.contains(*id));
+        let out = self.out.iter().map(|id| ban(id, true, 0));
+        out.chain(back.map(|(id, at)| ban(id, false, *at))).collect()
+    }
+
+    /// What was said to the other process, also of a node that this one has not seen listed yet.
+    pub(crate) fn take(&mut self, ban: &Ban) -> Vec<Member> {
+        let id = ServerId::from(&*ban.id);
+        self.ever.insert(id.clone());
+        let members = if ban.out {
+            self.disable(&id)
+        } else {
+            self.out.remove(&id);
+            self.back.insert(id.clone(), ban.at);
+            self.listed.get(&id).map(|m| vec![self.laid_over(m.clone())])
+        };
+        members.unwrap_or_default()
+    }
+
     /// Listed nodes, and those of them that nothing new goes to.
     pub(crate) fn counts(&self) -> (usize, usize) {
         let avoided = |m: &&Member| m.readiness != Readiness::Ready || self.out.contains(&m.id);
--- a/src/limiter/mod.rs
+++ b/src/limiter/mod.rs
@@ -9,6 +9,7 @@
 
 pub use timers::Clock;
 
+use crate::handover::message::{Ban, Body, Bye, Given};
 use crate::hush::Hush;
 use crate::interface::*;
 use crate::Gateway;
@@ -74,6 +75,8 @@
     fn probe(&mut self, node: &ServerId);
     /// Nothing more is to go to this ticket node, not even what has been started and is not written yet.
     fn bar(&mut self, node: &ServerId);
+    /// The other process of an upgrade is to know this, if there is one.
+    fn tell(&mut self, news: Body);
     /// So many ticket nodes are listed, and so many of them avoided.
     fn listed(&mut self, known: usize, excluded: usize);
     /// Adds to a count; `call` comes back with the total.
@@ -116,6 +119,16 @@
     Disable(ServerId, Sender<bool>),
     /// Put it back.
     Enable(ServerId, Sender<bool>),
+    /// Give what is known to a successor, and tell of each attempt that ends from now on.
+    Give(Sender<Given>),
+    /// The successor did not serve.
+    TakeBack,
+    /// Take what a predecessor knew.
+    Take(Given, Sender<()>),
+    /// The other process has news.
+    Heard(Body),
+    /// Everything open is answered or handed over: end.
+    Finish,
 }
 
 /// What reaches the core.
@@ -177,6 +190,7 @@
 struct Open<E: Edges> {
     id: RequestId,
     name: Option<RequestId>,
+    account: CustomerId,
     client: E::Client,
     call: Arc<E::Call>,
     deadline: Micros,
@@ -188,6 +202,7 @@
 
 struct Out {
     node: ServerId,
+    account: CustomerId,
     sent: Micros,
 }
 
@@ -195,6 +210,12 @@
 pub struct Core<E: Edges> {
     gateway: Gateway,
     bans: Bans,
+    /// What a successor was given.
+    given: Option<Given>,
+    /// Attempts of a predecessor that are still out, by account.
+    before: HashMap<CustomerId, u32>,
+    /// A successor serves, and nothing is to begin here.
+    finishing: bool,
     edges: E,
     clock: Clock,
     log: Logger,
@@ -236,6 +257,9 @@
             counter_timeout: settings.counter_timeout.max(1_000),
             gateway: Gateway::new(settings, seed),
             bans: Bans::default(),
+            given: None,
+            before: HashMap::new(),
+            finishing: false,
             edges,
             clock,
             log,
@@ -256,8 +280,8 @@
     }
 
     /// Runs until it is stopped and everything open is answered.
-    pub fn run(mut self, inputs: Receiver<Input<E>>, orders: Receiver<Order>) {
-        while !self.quiet || !self.open.is_empty() {
+    pub fn run(mut self, inputs: Receiver<Input<E>>, orders: Receiver<Order>) -> Bye {
+        while self.goes_on() {
             let input = match self.timers.next() {
                 Some(at) => inputs.recv_deadline(self.clock.moment(at)),
                 None => inputs.recv().map_err(|_| RecvTimeoutError::Disconnected),
@@ -269,12 +293,18 @@
             match input {
                 Ok(input) => self.take(now, input),
                 Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return,
+                Err(RecvTimeoutError::Disconnected) => break,
             }
             while let Some(due) = self.timers.due(now) {
                 self.fall_due(now, due);
             }
         }
+        self.gateway.untold()
+    }
+
+    /// A predecessor waits for its last calls of the counter too, as what these turn out not to have added goes along.
+    fn goes_on(&self) -> bool {
+        !self.open.is_empty() || if self.finishing { !self.counts.is_empty() } else { !self.quiet }
     }
 
     fn take(&mut self, now: Micros, input: Input<E>) {
@@ -294,7 +324,7 @@
                 }
             }
             Input::Ended { attempt, outcome, load, value } => {
-                if let Some(out) = self.out.remove(&attempt) {
+                if let Some(out) = self.take_out(attempt) {
                     self.ended(now, attempt, out, outcome, load, value);
                 }
             }
@@ -320,17 +350,72 @@
     /// Guards against an order that waits behind a crowd of requests: the operator is owed an answer in a second.
     fn obey(&mut self, now: Micros, order: Order) {
         let (members, told) = match order {
-            Order::Disable(node, told) => {
-                self.edges.bar(&node);
-                (self.bans.disable(&node), told)
+            Order::Disable(node, told) => (self.ban(now, &node, true), told),
+            Order::Enable(node, told) => (self.ban(now, &node, false), told),
+            Order::Give(to) => {
+                let bans = self.bans.all();
+                let given = Given { bans, ..self.gateway.give() };
+                self.given = Some(given.clone());
+                _ = to.try_send(given);
+                return;
+            }
+            Order::TakeBack => return self.given.take().into_iter().for_each(|g| self.gateway.take_back(g)),
+            Order::Take(given, told) => {
+                let members = given.bans.iter().flat_map(|ban| self.bans.take(ban)).collect();
+                self.listed(now, Scope::Changes, members);
+                self.before = self.gateway.take(now, given);
+                _ = told.try_send(());
+                return;
             }
-            Order::Enable(node, told) => (self.bans.enable(&node, now), told),
+            Order::Heard(news) => return self.hear(now, news),
+            Order::Finish => return self.finishing = true,
         };
         let known = members.is_some();
         self.listed(now, Scope::Changes, members.unwrap_or_default());
         _ = told.try_send(known);
     }
 
+    /// Takes a node out or puts it back, here and at the other process.
+    fn ban(&mut self, now: Micros, node: &ServerId, out: bool) -> Option<Vec<Member>> {
+        let members = if out { self.bans.disable(node) } else { self.bans.enable(node, now) };
+        if members.is_some() {
+            self.edges.tell(Body::Ban(Ban { id: node.0.to_string(), out, at: now }));
+            self.bar(node, out);
+        }
+        members
+    }
+
+    fn bar(&mut self, node: &ServerId, out: bool) {
+        if out {
+            self.edges.bar(node);
+        }
+    }
+
+    fn hear(&mut self, now: Micros, news: Body) {
+        match news {
+            Body::Ban(ban) => {
+                self.bar(&ServerId::from(&*ban.id), ban.out);
+                let members = self.bans.take(&ban);
+                self.listed(now, Scope::Changes, members);
+            }
+            Body::Ended(account) => {
+                let account = CustomerId::from(&*account);
+                if let Some(out) = self.before.get_mut(&account).filter(|out| **out > 0) {
+                    *out -= 1;
+                    self.gateway.ended_before(&account);
+                }
+            }
+            Body::Bye(bye) => {
+                // Whatever it had out has ended with it.
+                for (account, out) in std::mem::take(&mut self.before) {
+                    (0..out).for_each(|_| self.gateway.ended_before(&account));
+                }
+                self.gateway.take_untold(bye);
+            }
+            _ => {}
+        }
+    }
+
     fn listed(&mut self, now: Micros, scope: Scope, members: Vec<Member>) {
         self.tell(now, Event::Members { scope, members });
         let (known, excluded) = self.bans.counts();
@@ -360,7 +445,7 @@
             id: id.clone(),
             class: incoming.class,
             plan: incoming.plan,
-            customer: incoming.account,
+            customer: incoming.account.clone(),
             budget: deadline.saturating_sub(now),
             units: incoming.units,
             spread: incoming.spread,
@@ -369,6 +454,7 @@
         let open = Open {
             id,
             name: incoming.id,
+            account: incoming.account,
             client: incoming.client,
             call: Arc::new(incoming.call),
             deadline,
@@ -386,7 +472,7 @@
         match due {
             Due::Module(token) => self.tell(now, Event::Timer { token }),
             Due::Attempt(attempt) => {
-                if let Some(out) = self.out.remove(&attempt) {
+                if let Some(out) = self.take_out(attempt) {
                     let written = self.edges.cancel(attempt);
                     if let Some(open) = self.open.get_mut(&attempt.request) {
                         open.late = true;
@@ -428,6 +514,15 @@
         Some(open)
     }
 
+    /// An attempt is no longer out; a successor counts those that were when it took over.
+    fn take_out(&mut self, attempt: AttemptId) -> Option<Out> {
+        let out = self.out.remove(&attempt)?;
+        if self.given.is_some() {
+            self.edges.tell(Body::Ended(out.account.0.to_string()));
+        }
+        Some(out)
+    }
+
     /// The first good answer goes to the agent at once; the module hears of every end.
     fn ended(
         &mut self,
@@ -480,7 +575,7 @@
             Action::Send { id, server, timeout } => self.send(now, id, server, timeout),
             Action::Cancel { id, attempt } => {
                 let attempt = AttemptId { request: number(&id), attempt };
-                if let Some(out) = self.out.remove(&attempt) {
+                if let Some(out) = self.take_out(attempt) {
                     let written = self.edges.cancel(attempt);
                     self.events.push_back(Event::Outcome(Ended {
                         id,
@@ -515,6 +610,11 @@
             }
             Action::Timer { after, token } => self.timers.set(now + after, Due::Module(token)),
             Action::Probe { server } => self.edges.probe(&server),
+            // A call that ends after this process has tells nobody.
+            Action::Count { name, .. } if self.finishing => {
+                let (total, outcome) = (0.0, Outcome::ConnectFailed);
+                self.events.push_back(Event::Counted { name, total, outcome });
+            }
             Action::Count { name, by, ttl } => {
                 self.count_calls += 1;
                 self.counts.insert(self.count_calls, name);
@@ -544,7 +644,7 @@
         }
         let ends = now + if timeout == 0 { left } else { timeout.min(left) };
         self.edges.start(attempt, &node, &open.call, self.clock.moment(ends));
-        self.out.insert(attempt, Out { node, sent: now });
+        self.out.insert(attempt, Out { node, account: open.account.clone(), sent: now });
         self.timers.set(ends, Due::Attempt(attempt));
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,7 +10,7 @@
 use signal_hook::iterator::Signals;
 use slog::{crit, error, info, o, Drain, Logger};
 use std::io;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
@@ -28,13 +28,16 @@
 fn run(log: &Logger) -> Result<(), String> {
     // Before anything listens: the words to stop or to read the configuration again may come at any time.
     let signals = Signals::new([SIGTERM, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
+    let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
     match std::env::args().nth(1) {
         Some(path) => {
             let again = move || {
                 let config = config::openapi(&read(&path)?, |name| read(&beside(&path, name)));
                 config.map_err(|e| format!("{path}: {e}"))
             };
-            serve(openapi::start(again()?, log), again, signals, log)
+            let mut config = again()?;
+            config.common.common_folder = folder;
+            serve(openapi::start(config, log), again, signals, log)
         }
         None => {
             let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG is not set, wanted a file")?;
@@ -42,7 +45,9 @@
                 let config = config::platform(&read(&path)?, |name| std::env::var(name).ok());
                 config.map_err(|e| format!("{path}: {e}"))
             };
-            serve(platform::start(again()?, log), again, signals, log)
+            let mut config = again()?;
+            config.common.common_folder = folder;
+            serve(platform::start(config, log), again, signals, log)
         }
     }
 }
--- a/src/net/agents.rs
+++ b/src/net/agents.rs
@@ -4,6 +4,7 @@
 use super::front::{Desk, Dismissal, Manner, Reply};
 use super::node_calls::{PlatformCall, PlatformSpeech, Served, FIELDS};
 use super::resp;
+use super::tap::Tap;
 use crate::interface::{CustomerId, Effect, RequestId};
 use crate::limiter::{Answer, Incoming};
 use crate::wire::Names;
@@ -51,13 +52,13 @@
     type Speech = PlatformSpeech;
     type Shape = ();
 
-    fn read(&self, stream: &TcpStream, desk: &Desk<Self>) {
+    fn read(&self, from: &mut Tap, desk: &Desk<Self>) -> Vec<u8> {
         let (mut buffer, mut end, mut bad) = (Buffer::none(), 0, 0);
         loop {
-            match buffer.read(end, stream) {
-                Ok(0) => return,
+            match buffer.read(end, &mut *from) {
+                Ok(0) => return Vec::new(),
                 Ok(read) => end += read,
-                Err(_) => return,
+                Err(_) => return buffer[..end].to_vec(),
             }
             let arrived = Instant::now();
             let mut start = 0;
@@ -72,7 +73,7 @@
                 start += size;
                 if words.len() <= FIELDS {
                     if !desk.say((), word(&buffer[words[0].clone()], desk.ready())) {
-                        return;
+                        return Vec::new();
                     }
                     continue;
                 }
@@ -90,14 +91,14 @@
                         let class = fields.split(',').find_map(|f| self.names.class(f.strip_prefix("c=")?));
                         class.into_iter().for_each(|class| desk.failed(class));
                         if !desk.say((), Reply::words(&format!("-ERR {fault}\r\n"))) {
-                            return;
+                            return Vec::new();
                         }
                         thread::sleep(BAD_WAIT * bad);
                         continue;
                     }
                 };
                 bad = 0;
-                let Some((number, client)) = desk.place((), asked.class) else { return };
+                let Some((number, client)) = desk.place((), asked.class) else { return Vec::new() };
                 let text = |at: usize| String::from_utf8_lossy(&buffer[words[at].clone()]);
                 let (account, id) = (CustomerId::from(&*text(ACCOUNT)), RequestId::from(&*text(ID)));
                 // The command goes on in the buffer that it came in; what follows it moves to a new one.
@@ -160,8 +161,9 @@
 
 /// Nothing after a malformed command can be told apart: the agent is told so, and the connection ends once what
 /// was asked before is answered.
-fn malformed(desk: &Desk<Agents>, fault: &str) {
+fn malformed(desk: &Desk<Agents>, fault: &str) -> Vec<u8> {
     desk.say_last((), format!("-ERR {fault}\r\n").into_bytes(), fault);
+    Vec::new()
 }
 
 fn word(word: &[u8], ready: bool) -> Reply<Served> {
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -7,6 +7,7 @@
 //! One more thread watches over all connections: what never completes a command, or is held for good after its
 //! last answer, is closed, and whoever sends what can't be read is not kept waiting behind an answer.
 
+use super::tap::{Tap, Wake};
 use super::ticket_nodes::Speech;
 use super::wiring::{Queue, Wiring};
 use super::{lock, spawn};
@@ -18,8 +19,8 @@
 use std::cell::OnceCell;
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -51,8 +52,9 @@
     type Speech: Speech;
     /// What the writer has to know of a command.
     type Shape: Send + 'static;
-    /// Reads commands until the agent goes away or nothing more is to be taken from it.
-    fn read(&self, stream: &TcpStream, desk: &Desk<Self>);
+    /// Reads commands until the agent goes away, nothing more is to be taken from it or the connection is to be handed
+    /// over; what has been read by then and is no whole command.
+    fn read(&self, from: &mut Tap, desk: &Desk<Self>) -> Vec<u8>;
     /// The last words to an agent whose connection is ended.
     fn dismissal(&self, why: Dismissal) -> (Self::Shape, Vec<u8>);
     /// Writes an answer; false if the connection is to end after it.
@@ -112,10 +114,20 @@
 /// request is counted.
 type Owed<M> = (u64, <M as Manner>::Shape, Receiver<Reply<ValueOf<M>>>, Option<Tally>);
 
+/// Hands a connection over to another process, with what was read from it; false if it stays.
+pub type Pass = Arc<dyn Fn(&TcpStream, &[u8]) -> bool + Send + Sync>;
+
 /// A front.
 pub struct Front<M: Manner> {
     manner: M,
-    most: usize,
+    most: AtomicUsize,
+    /// Connections can be handed over; ends the waiting of their readers.
+    wake: Option<Wake>,
+    /// Where to, while they are.
+    pass: Mutex<Option<Pass>>,
+    /// No connection is accepted.
+    paused: Mutex<bool>,
+    unpaused: Condvar,
     queue: Queue<M::Speech>,
     figures: Arc<Figures>,
     ready: AtomicBool,
@@ -135,6 +147,8 @@
 struct Link {
     stream: TcpStream,
     state: Mutex<LinkState>,
+    /// An answer has been written, or the connection has ended.
+    answered: Condvar,
 }
 
 struct LinkState {
@@ -144,6 +158,8 @@
     owed: usize,
     /// Nothing that is read from now on is taken.
     closed: bool,
+    /// Handed over: another process reads and writes on it.
+    moved: bool,
     /// A whole command has come.
     asked: bool,
     /// Since when the connection waits for a command to become whole.
@@ -286,13 +302,18 @@
     pub fn new(
         manner: M,
         most: usize,
+        wake: Option<Wake>,
         queue: Queue<M::Speech>,
         figures: Arc<Figures>,
         log: Logger,
     ) -> Arc<Self> {
         Arc::new(Self {
             manner,
-            most,
+            most: AtomicUsize::new(most),
+            wake,
+            pass: Mutex::default(),
+            paused: Mutex::default(),
+            unpaused: Condvar::new(),
             queue,
             figures,
             ready: AtomicBool::new(false),
@@ -307,15 +328,42 @@
         })
     }
 
-    /// Listens and starts to take connections.
-    pub fn listen(self: &Arc<Self>, at: SocketAddr) -> io::Result<SocketAddr> {
-        let listener = TcpListener::bind(at)?;
-        let bound = listener.local_addr()?;
+    /// Starts to take connections.
+    pub fn listen(self: &Arc<Self>, listener: TcpListener) -> io::Result<()> {
         let front = self.clone();
         spawn("agents", move || front.accept(&listener))?;
         let front = self.clone();
-        spawn("agents-watch", move || front.watch())?;
-        Ok(bound)
+        spawn("agents-watch", move || front.watch())
+    }
+
+    /// Takes connections, or none for now: they wait for whoever else accepts from the listener.
+    pub fn accepts(&self, goes_on: bool) {
+        *lock(&self.paused) = !goes_on;
+        self.unpaused.notify_all();
+    }
+
+    /// From now on so many connections at most.
+    pub fn limit(&self, most: usize) {
+        self.most.store(most, Ordering::Relaxed);
+    }
+
+    /// Hands over each connection as soon as what was asked on it is answered, or none any more.
+    pub fn hand_over(&self, to: Option<Pass>) {
+        let hands = to.is_some();
+        *lock(&self.pass) = to;
+        _ = self.wake.as_ref().map(|wake| wake.set(hands));
+    }
+
+    /// A connection that another process has served so far, with what was read from it.
+    pub fn adopt(self: &Arc<Self>, stream: TcpStream, read: Vec<u8>) {
+        if let Err(fault) = self.serve(stream, Some(read)) {
+            warn!(self.log, "agent connection dropped"; "fault" => %fault);
+        }
+    }
+
+    /// No connection is left.
+    pub fn is_empty(&self) -> bool {
+        lock(&self.links).is_empty()
     }
 
     /// From now on the front says that it is ready.
@@ -344,12 +392,16 @@
 
     fn accept(self: &Arc<Self>, listener: &TcpListener) {
         loop {
+            let paused = lock(&self.paused);
+            drop(self.unpaused.wait_while(paused, |paused| *paused));
             match listener.accept() {
                 Ok((stream, _)) => {
-                    if !self.make_room() {
+                    // The one that was waited for when the hand-over began.
+                    let pass = lock(&self.pass).clone();
+                    if pass.is_some_and(|pass| pass(&stream, &[])) || !self.make_room() {
                         continue;
                     }
-                    if let Err(fault) = self.serve(stream) {
+                    if let Err(fault) = self.serve(stream, None) {
                         warn!(self.log, "agent connection dropped"; "fault" => %fault);
                     }
                 }
@@ -369,7 +421,7 @@
     fn make_room(&self) -> bool {
         let began = Instant::now();
         let mut links = lock(&self.links);
-        while links.len() >= self.most {
+        while links.len() >= self.most.load(Ordering::Relaxed) {
             let idle = |l: &Link| {
                 let state = lock(&l.state);
                 (state.owed == 0 && !state.closed).then_some((state.asked, state.idle_since))
@@ -404,7 +456,8 @@
         }
     }
 
-    fn serve(self: &Arc<Self>, stream: TcpStream) -> io::Result<()> {
+    /// Serves a connection that is new, or one with what another process has read from it.
+    fn serve(self: &Arc<Self>, stream: TcpStream, read: Option<Vec<u8>>) -> io::Result<()> {
         stream.set_nodelay(true)?;
         stream.set_write_timeout(Some(WRITE_WAIT))?;
         let now = Instant::now();
@@ -412,13 +465,14 @@
             waiting: Vec::new(),
             owed: 0,
             closed: false,
-            asked: false,
-            half: Some(now),
+            moved: false,
+            asked: read.is_some(),
+            half: read.is_none().then_some(now),
             spoilt: None,
             opened: now,
             idle_since: now,
         };
-        let link = Arc::new(Link { stream, state: Mutex::new(state) });
+        let link = Arc::new(Link { stream, state: Mutex::new(state), answered: Condvar::new() });
         let number = self.numbers.fetch_add(1, Ordering::Relaxed);
         lock(&self.links).insert(number, link.clone());
         self.opened.notify_one();
@@ -426,16 +480,38 @@
             link.close_if_idle();
         }
         let (front, reading) = (self.clone(), link.clone());
-        let begun = spawn("agent-read", move || front.read(number, &reading));
+        let begun = spawn("agent-read", move || front.read(number, &reading, read.unwrap_or_default()));
         if begun.is_err() {
             self.end(number, &link);
         }
         begun
     }
 
-    fn read(self: &Arc<Self>, number: u64, link: &Arc<Link>) {
+    fn read(self: &Arc<Self>, number: u64, link: &Arc<Link>, mut first: Vec<u8>) {
         let desk = Desk { front: self, link, number, writer: OnceCell::new() };
-        self.manner.read(&link.stream, &desk);
+        loop {
+            let mut tap = Tap::new(&link.stream, self.wake.as_ref(), first);
+            first = self.manner.read(&mut tap, &desk);
+            let woken = tap.woken();
+            first.extend(tap.unread());
+            if !woken {
+                break;
+            }
+            // All that was asked on it is answered from here; what comes next is the other's.
+            let pass = link.settled().then(|| lock(&self.pass).clone()).flatten();
+            if pass.is_some_and(|pass| pass(&link.stream, &first)) {
+                // The writer ends without a word, and ends the connection here alone.
+                return match desk.writer.into_inner() {
+                    Some(_) => {}
+                    None => self.end(number, link),
+                };
+            }
+            if !link.stays() {
+                break;
+            }
+            // Guards against asking again and again while the other's end is not known yet.
+            thread::sleep(ACCEPT_WAIT);
+        }
         if lock(&link.state).half.is_some_and(|since| since.elapsed() >= PATIENCE) {
             // The watch has ended the reading.
             if link.begin().is_some() {
@@ -539,6 +615,7 @@
         state.owed = state.owed.saturating_sub(1);
         state.idle_since = Instant::now();
         state.closed |= closing && state.owed == 0;
+        self.answered.notify_all();
         !state.closed || (state.spoilt.is_some() && state.owed > 0)
     }
 
@@ -564,14 +641,38 @@
 
     fn close_if_idle(&self) {
         let mut state = lock(&self.state);
-        if state.owed == 0 {
+        if state.owed == 0 && !state.moved {
             state.closed = true;
             _ = self.stream.shutdown(Shutdown::Both);
         }
     }
 
     fn close(&self) {
-        lock(&self.state).closed = true;
-        _ = self.stream.shutdown(Shutdown::Both);
+        let mut state = lock(&self.state);
+        state.closed = true;
+        self.answered.notify_all();
+        if !state.moved {
+            _ = self.stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Waits until nothing is owed on the connection, and takes it from all but the one who asks. False if it ends.
+    fn settled(&self) -> bool {
+        let state = lock(&self.state);
+        let wait = self.answered.wait_while(state, |state| state.owed > 0 && !state.closed);
+        let mut state = wait.unwrap_or_else(PoisonError::into_inner);
+        let whole = !state.closed;
+        (state.closed, state.moved) = (true, whole);
+        whole
+    }
+
+    /// It was not handed over after all; false if it ends.
+    fn stays(&self) -> bool {
+        let mut state = lock(&self.state);
+        if !std::mem::take(&mut state.moved) {
+            return false;
+        }
+        (state.closed, state.idle_since) = (false, Instant::now());
+        true
     }
 }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -203,6 +203,16 @@
         }
     }
 
+    /// What has been read and not taken.
+    pub fn rest(&self) -> &[u8] {
+        &self.buffer[self.start..self.end]
+    }
+
+    /// What is read from.
+    pub fn source(&mut self) -> &mut R {
+        &mut self.from
+    }
+
     /// Nothing has been read beyond the last message.
     pub fn drained(&self) -> bool {
         self.start == self.end
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,6 +13,7 @@
 pub mod quota_counter;
 pub mod redis_counter;
 pub mod resp;
+pub mod tap;
 pub mod ticket_nodes;
 pub mod wiring;
 
@@ -26,7 +27,7 @@
 const STACK: usize = 96 * 1024;
 
 /// Threads without work that are kept for a while: about as many as connections end at once.
-const IDLE: usize = 64;
+const IDLE: usize = 16;
 const IDLE_TIME: Duration = Duration::from_secs(10);
 
 type Work = Box<dyn FnOnce() + Send>;
--- a/src/net/ticket_nodes.rs
+++ b/src/net/ticket_nodes.rs
@@ -1,4 +1,6 @@
-//! Attempts at ticket nodes: kept connections, one attempt at a time on each, a small thread for each.
+//! Attempts at ticket nodes: kept connections, one attempt at a time on each, a small thread for each attempt.
+//!
+//! Connections that wait hold no thread: hundreds of limiters on one machine would need more than a system gives.
 
 use super::wiring::Queue;
 use super::{lock, spawn};
@@ -7,18 +9,18 @@
 use crate::hush::Hush;
 use crate::interface::{Outcome, Readiness, ServerId};
 use crate::limiter::{AttemptId, Input};
-use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
 use slog::{warn, Logger};
 use std::collections::HashMap;
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// A connection is not used again within this time of the node's closing it.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
-/// Time for a hand-over that was decided just before that.
-const HAND_OVER: Duration = Duration::from_millis(500);
+/// Between two looks through all idle connections.
+const SWEEP: Duration = Duration::from_secs(1);
 /// Idle connections kept to one node.
 const KEPT: usize = 32;
 
@@ -67,9 +69,10 @@
 }
 
 struct Shared<S: Speech> {
-    book: Mutex<Book<S::Call>>,
+    book: Mutex<Book>,
     links: Links,
-    most: usize,
+    most: AtomicUsize,
+    lines: Arc<AtomicUsize>,
     speech: S,
     queue: Queue<S>,
     figures: Arc<Figures>,
@@ -77,23 +80,47 @@
     full: Hush,
 }
 
-struct Book<C> {
-    nodes: HashMap<ServerId, Node<C>>,
+struct Book {
+    nodes: HashMap<ServerId, Node>,
     running: HashMap<AttemptId, Arc<Line>>,
-    lines: usize,
+    /// When idle connections were last looked through.
+    swept: Instant,
 }
 
-struct Node<C> {
+struct Node {
     address: SocketAddr,
-    idle: Vec<Idle<C>>,
+    /// The one used last comes last.
+    idle: Vec<Idle>,
 }
 
-/// A connection that waits for work.
-struct Idle<C> {
-    work: Sender<Job<C>>,
+/// A connection that waits for work; no thread waits with it.
+struct Idle {
+    connection: Arc<Connection>,
     since: Instant,
 }
 
+/// A connection, counted while anybody holds it.
+struct Connection {
+    stream: TcpStream,
+    _counted: Counted,
+}
+
+/// One of the connections that there may be.
+struct Counted(Arc<AtomicUsize>);
+
+impl Counted {
+    fn new(lines: &Arc<AtomicUsize>) -> Self {
+        lines.fetch_add(1, Ordering::SeqCst);
+        Self(lines.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 /// A connection as the one who cancels sees it.
 struct Line {
     node: ServerId,
@@ -103,7 +130,7 @@
 #[derive(Default)]
 struct LineState {
     /// There once writing has begun.
-    stream: Option<Arc<TcpStream>>,
+    connection: Option<Arc<Connection>>,
     cancelled: bool,
     /// The node was taken out before a byte was written: nothing is.
     barred: bool,
@@ -124,9 +151,18 @@
         figures: Arc<Figures>,
         log: Logger,
     ) -> Self {
-        let book = Mutex::new(Book { nodes: HashMap::new(), running: HashMap::new(), lines: 0 });
-        let full = Hush::default();
-        Self { shared: Arc::new(Shared { book, links, most, speech, queue, figures, log, full }) }
+        let book = Mutex::new(Book { nodes: HashMap::new(), running: HashMap::new(), swept: Instant::now() });
+        let (most, full) = (AtomicUsize::new(most), Hush::default());
+        let lines = Arc::default();
+        Self { shared: Arc::new(Shared { book, links, most, lines, speech, queue, figures, log, full }) }
+    }
+
+    /// From now on so many connections at most; idle ones beyond are closed.
+    pub fn limit(&self, most: usize) {
+        self.shared.most.store(most, Ordering::Relaxed);
+        let mut book = lock(&self.shared.book);
+        let over = self.shared.lines.load(Ordering::SeqCst).saturating_sub(most);
+        (0..over).all(|_| book.close_oldest());
     }
 
     /// Takes news of the node list. A node that is gone or absent from a full list loses its idle connections.
@@ -164,10 +200,10 @@
         let Some(line) = lock(&self.shared.book).running.remove(&attempt) else { return true };
         let mut state = lock(&line.state);
         state.cancelled = true;
-        if let Some(stream) = &state.stream {
-            _ = stream.shutdown(Shutdown::Both);
+        if let Some(connection) = &state.connection {
+            _ = connection.stream.shutdown(Shutdown::Both);
         }
-        state.stream.is_some()
+        state.connection.is_some()
     }
 
     /// Keeps what has been started for a node, and waits for its connection, from being written.
@@ -184,105 +220,101 @@
         }
     }
 
-    fn give(&self, id: &ServerId, mut job: Job<S::Call>) -> Result<(), Outcome> {
+    fn give(&self, id: &ServerId, job: Job<S::Call>) -> Result<(), Outcome> {
         let shared = &self.shared;
         let mut book = lock(&shared.book);
+        let keep = shared.links.idle.saturating_sub(IDLE_MARGIN);
         let Some(node) = book.nodes.get_mut(id) else { return Err(Outcome::ConnectFailed) };
         let address = node.address;
-        let keep = shared.links.idle.saturating_sub(IDLE_MARGIN);
         // The one used last: the others may age and close.
-        while let Some(idle) = node.idle.pop() {
-            if idle.since.elapsed() >= keep {
-                continue;
-            }
-            match idle.work.send(job) {
-                Ok(()) => return Ok(()),
-                Err(back) => job = back.0,
-            }
-        }
-        if book.lines >= shared.most && !book.close_oldest() {
+        node.idle.retain(|idle| idle.since.elapsed() < keep);
+        let kept = node.idle.pop().map(|idle| idle.connection);
+        let full = || shared.lines.load(Ordering::SeqCst) >= shared.most.load(Ordering::Relaxed);
+        if kept.is_none() && full() && !book.close_oldest() {
             // No judgement on the node: it never got the attempt.
             if let Some(more) = shared.full.due() {
-                let lines = book.lines;
+                let lines = shared.lines.load(Ordering::SeqCst);
                 warn!(shared.log, "no descriptor left for a ticket node"; "lines" => lines, "unlogged" => more);
             }
             return Err(Outcome::Moot);
         }
-        book.lines += 1;
+        let counted = kept.is_none().then(|| Counted::new(&shared.lines));
         drop(book);
         let (id, own) = (id.clone(), shared.clone());
-        let work = move || Worker { id, address, stream: None, shared: own }.run(job);
+        let work = move || Worker { id, address, kept, counted, shared: own }.carry_out(job);
         if let Err(fault) = spawn("node", work) {
             warn!(shared.log, "no thread for a ticket node"; "fault" => %fault);
-            lock(&shared.book).lines -= 1;
             return Err(Outcome::Moot);
         }
         Ok(())
     }
 }
 
-impl<C> Book<C> {
-    /// Drops the idle connection that waits longest; its thread ends and frees the descriptor.
+impl Book {
+    /// Drops the idle connection that waits longest.
     fn close_oldest(&mut self) -> bool {
         let waiting = self.nodes.values_mut().filter(|n| !n.idle.is_empty());
         let oldest = waiting.min_by_key(|n| n.idle[0].since);
         oldest.map(|n| n.idle.remove(0)).is_some()
     }
+
+    /// Puts a connection among the idle ones of its node, if the node is still there and has few. Looks through all now
+    /// and then: the node closes what is idle for too long.
+    fn rest(&mut self, id: &ServerId, address: SocketAddr, connection: Arc<Connection>, links: &Links) {
+        let keep = links.idle.saturating_sub(IDLE_MARGIN);
+        if self.swept.elapsed() >= SWEEP {
+            self.swept = Instant::now();
+            self.nodes.values_mut().for_each(|node| node.idle.retain(|idle| idle.since.elapsed() < keep));
+        }
+        let node = self.nodes.get_mut(id).filter(|n| n.address == address && n.idle.len() < KEPT);
+        node.into_iter()
+            .for_each(|n| n.idle.push(Idle { connection: connection.clone(), since: Instant::now() }));
+    }
 }
 
-/// The thread of one connection.
+/// One attempt or probe, on a thread.
 struct Worker<S: Speech> {
     id: ServerId,
     address: SocketAddr,
-    stream: Option<Arc<TcpStream>>,
+    /// The connection that it was given.
+    kept: Option<Arc<Connection>>,
+    /// Or its place for a new one.
+    counted: Option<Counted>,
     shared: Arc<Shared<S>>,
 }
 
 impl<S: Speech> Worker<S> {
-    fn run(mut self, first: Job<S::Call>) {
-        let keep = self.shared.links.idle.saturating_sub(IDLE_MARGIN);
-        let mut job = Some(first);
-        while let Some(next) = job.take() {
-            let Some(work) = self.carry_out(next) else { break };
-            // Work is handed over for `keep` alone; the rest is for a hand-over that was slow.
-            job = match work.recv_timeout(keep + HAND_OVER) {
-                Err(RecvTimeoutError::Timeout) => work.try_recv().ok(),
-                other => other.ok(),
-            };
-        }
-        self.stream = None;
-        lock(&self.shared.book).lines -= 1;
-    }
-
-    /// Carries out a job and tells of its end; says where the next comes from if the connection is kept.
-    fn carry_out(&mut self, job: Job<S::Call>) -> Option<Receiver<Job<S::Call>>> {
+    /// Carries out a job and tells of its end.
+    fn carry_out(mut self, job: Job<S::Call>) {
         match job {
             Job::Attempt { attempt, call, ends, line } => {
                 let Exchange { outcome, load, value, keep } = self.attempt(&call, ends, &line);
-                let work = {
+                {
                     let mut book = lock(&self.shared.book);
                     // A cancelled attempt has left the book, and its connection is closed.
                     let keep = book.running.remove(&attempt).is_some() && keep;
-                    keep.then(|| book.rest(&self.id, self.address, &self.shared.links)).flatten()
-                };
+                    self.rest(&mut book, keep);
+                }
                 _ = self.shared.queue.send(Input::Ended { attempt, outcome, load, value });
-                work
             }
             Job::Probe => {
                 let began = Instant::now();
                 let Exchange { outcome, load, keep, .. } = self.probe();
-                let mut book = lock(&self.shared.book);
-                let work = keep.then(|| book.rest(&self.id, self.address, &self.shared.links)).flatten();
-                drop(book);
+                self.rest(&mut lock(&self.shared.book), keep);
                 let (node, took) = (self.id.clone(), began.elapsed());
                 _ = self.shared.queue.send(Input::Probed { node, outcome, took, load });
-                work
             }
         }
     }
 
+    fn rest(&self, book: &mut Book, keep: bool) {
+        if let Some(connection) = self.kept.clone().filter(|_| keep) {
+            book.rest(&self.id, self.address, connection, &self.shared.links);
+        }
+    }
+
     fn attempt(&mut self, call: &S::Call, ends: Instant, line: &Line) -> Exchange<S::Value> {
-        let Ok(stream) = self.connected() else { return Exchange::broke(Outcome::ConnectFailed) };
+        let Ok(connection) = self.connected() else { return Exchange::broke(Outcome::ConnectFailed) };
         {
             let mut state = lock(&line.state);
             if state.cancelled {
@@ -291,26 +323,27 @@
             if state.barred {
                 return Exchange::broke(Outcome::ConnectFailed);
             }
-            state.stream = Some(stream.clone());
+            state.connection = Some(connection.clone());
         }
         let left = ends.saturating_duration_since(Instant::now());
-        match self.shared.speech.write(call, &stream, left) {
+        match self.shared.speech.write(call, &connection.stream, left) {
             Ok(()) => {
                 self.shared.figures.attempt();
-                self.shared.speech.read(call, &stream)
+                self.shared.speech.read(call, &connection.stream)
             }
             Err(_) => Exchange::broke(Outcome::ConnectFailed),
         }
     }
 
     fn probe(&mut self) -> Exchange<S::Value> {
-        let Ok(stream) = self.connected() else { return Exchange::broke(Outcome::ConnectFailed) };
+        let Ok(connection) = self.connected() else { return Exchange::broke(Outcome::ConnectFailed) };
+        let stream = &connection.stream;
         // Nothing else ends a probe, as the core does an attempt: neither its writing nor its reading.
         let limit = |wait| stream.set_write_timeout(wait).is_ok() && stream.set_read_timeout(wait).is_ok();
         if !limit(Some(self.shared.links.connect)) {
             return Exchange::broke(Outcome::ConnectFailed);
         }
-        let done = self.shared.speech.probe(&stream);
+        let done = self.shared.speech.probe(stream);
         Exchange { keep: done.keep && limit(None), ..done }
     }
 
@@ -318,32 +351,19 @@
     ///
     /// Guards against a request written to a connection that the node has closed meanwhile: it would end as a
     /// reset, and a request that must not run twice would be lost with it.
-    fn connected(&mut self) -> io::Result<Arc<TcpStream>> {
-        if let Some(stream) = self.stream.take_if(|s| stands(s)) {
-            self.stream = Some(stream.clone());
-            return Ok(stream);
+    fn connected(&mut self) -> io::Result<Arc<Connection>> {
+        if let Some(connection) = self.kept.take_if(|c| stands(&c.stream)) {
+            self.kept = Some(connection.clone());
+            return Ok(connection);
         }
+        let counted = self.counted.take().unwrap_or_else(|| Counted::new(&self.shared.lines));
+        // Not counted twice where it takes the place of one that has ended.
+        self.kept = None;
         let stream = TcpStream::connect_timeout(&self.address, self.shared.links.connect)?;
         stream.set_nodelay(true)?;
-        let stream = Arc::new(stream);
-        self.stream = Some(stream.clone());
-        Ok(stream)
-    }
-}
-
-impl<C> Book<C> {
-    /// Puts a connection among the idle ones of its node, if the node is still there and has few; what it is
-    /// to do next comes from the receiver, which ends when the connection is dropped from the book.
-    fn rest(&mut self, id: &ServerId, address: SocketAddr, links: &Links) -> Option<Receiver<Job<C>>> {
-        let node = self.nodes.get_mut(id).filter(|n| n.address == address)?;
-        let keep = links.idle.saturating_sub(IDLE_MARGIN);
-        node.idle.retain(|idle| idle.since.elapsed() < keep);
-        if node.idle.len() >= KEPT {
-            return None;
-        }
-        let (sender, work) = bounded(1);
-        node.idle.push(Idle { work: sender, since: Instant::now() });
-        Some(work)
+        let connection = Arc::new(Connection { stream, _counted: counted });
+        self.kept = Some(connection.clone());
+        Ok(connection)
     }
 }
 
--- a/src/net/wiring.rs
+++ b/src/net/wiring.rs
@@ -1,17 +1,23 @@
 //! Joins a front, the core, ticket nodes and a counter into one limiter, whatever they speak.
 
 use super::count_lines::{Addition, CountLines};
-use super::front::{Front, Manner, Reply, Slot};
+use super::front::{Front, Manner, Pass, Reply, Slot};
+use super::tap::Wake;
 use super::ticket_nodes::{Speech, TicketNodes};
 use crate::config::{Common, NodeNews};
 use crate::control::line::{self, Desk};
 use crate::figures::Figures;
+use crate::handover::link::Link;
+use crate::handover::message::{Body, Given};
+use crate::handover::{Beside, Limiting};
 use crate::interface::{Scope, ServerId};
 use crate::limiter::{Answer, AttemptId, Clock, Core, Edges, Input, Order};
 use crossbeam_channel::{bounded, unbounded, Receiver, Sender};
-use slog::{info, o, Logger};
+use slog::{info, o, warn, Logger};
+use socket2::{Domain, Socket, Type};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{AsFd, OwnedFd};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -31,6 +37,8 @@
     nodes: TicketNodes<S>,
     counter: Option<CountLines>,
     figures: Arc<Figures>,
+    /// To the other process of an upgrade.
+    news: Option<Sender<Body>>,
 }
 
 impl<S: Speech> Edges for Wiring<S> {
@@ -59,6 +67,12 @@
         self.nodes.bar(node);
     }
 
+    fn tell(&mut self, news: Body) {
+        if let Some(to) = &self.news {
+            _ = to.send(news);
+        }
+    }
+
     fn listed(&mut self, known: usize, excluded: usize) {
         self.figures.servers(known, excluded);
     }
@@ -78,6 +92,7 @@
     core: Core<Wiring<M::Speech>>,
     inputs: Receiver<Input<Wiring<M::Speech>>>,
     orders: Receiver<Order>,
+    beside: Option<Arc<Beside>>,
     front: Arc<Front<M>>,
     queue: Queue<M::Speech>,
     nodes: TicketNodes<M::Speech>,
@@ -100,6 +115,18 @@
         let ((queue, inputs), (to_core, orders)) = (unbounded(), unbounded());
         let figures = Figures::new(common.class_names);
         let (for_agents, for_nodes) = shares(common.descriptors);
+        // Operators tell when a new process may take over: without them, and on platforms that give no folder, none does.
+        let folder = common.common_folder.filter(|_| common.control.is_some());
+        let beside_log = log.new(o!("part" => "upgrade"));
+        let wake = match folder.as_ref().map(|_| Wake::new()).transpose() {
+            Ok(wake) => wake,
+            Err(fault) => {
+                warn!(beside_log, "upgrades not possible"; "fault" => %fault);
+                None
+            }
+        };
+        let beside = folder.filter(|_| wake.is_some()).map(|folder| Beside::new(&folder, beside_log));
+        let joined = beside.as_ref().and_then(|beside| beside.join());
         let nodes_log = log.new(o!("part" => "nodes"));
         let nodes =
             TicketNodes::new(common.links, for_nodes, speech, queue.clone(), figures.clone(), nodes_log);
@@ -107,33 +134,56 @@
         let counted = move |call, outcome, total| _ = to.send(Input::Counted { call, outcome, total });
         let counter = counter(Arc::new(counted))?;
         let agents_log = log.new(o!("part" => "agents"));
-        let front = Front::new(manner, for_agents, queue.clone(), figures.clone(), agents_log);
+        let front = Front::new(manner, for_agents, wake, queue.clone(), figures.clone(), agents_log);
         let (ready, first_list) = bounded(1);
-        let own = front.clone();
-        super::spawn("ready", move || {
-            if first_list.recv().is_ok() {
-                own.set_ready();
-            }
-        })?;
         learn(&nodes, &queue, Scope::Kept, common.known);
-        let bound = front.listen(common.listen)?;
+        let listener = match &joined {
+            Some(joined) => joined.listener.try_clone()?,
+            None => bind(common.listen, common.control.is_some())?,
+        };
+        let bound = listener.local_addr()?;
+        front.accepts(joined.is_none());
+        front.listen(listener.try_clone()?)?;
         let (own, wake) = (front.clone(), queue.clone());
+        let order = move |order| {
+            _ = to_core.send(order);
+            _ = wake.send(Input::Ordered);
+        };
+        let change = Change {
+            listener,
+            front: front.clone(),
+            nodes: nodes.clone(),
+            shares: (for_agents, for_nodes),
+            figures: figures.clone(),
+            order: Box::new(order.clone()),
+        };
+        change.share(joined.is_some());
         let desk = || Desk {
             figures: figures.clone(),
             ready: Box::new(move || own.is_ready()),
-            order: Box::new(move |order| {
-                _ = to_core.send(order);
-                _ = wake.send(Input::Ordered);
-            }),
+            order: Box::new(order),
             log: log.new(o!("part" => "control")),
         };
         let control = common.control.map(|at| line::listen(at, desk())).transpose()?;
-        info!(log, "listening"; "at" => %bound, "limiter" => common.name);
-        let edges = Wiring { nodes: nodes.clone(), counter: counter.clone(), figures };
+        info!(log, "listening"; "at" => %bound, "limiter" => common.name,
+            "control" => control.map(|at| at.to_string()));
+        let news = match &beside {
+            Some(beside) => Some(beside.clone().teller()?),
+            None => None,
+        };
+        let listed = move |wait| first_list.recv_timeout(wait).is_ok();
+        match &beside {
+            Some(beside) => beside.start(joined, listed, Arc::new(change))?,
+            None => super::spawn("ready", move || {
+                while !listed(Duration::MAX) {}
+                change.serving();
+            })?,
+        }
+        let edges = Wiring { nodes: nodes.clone(), counter: counter.clone(), figures, news };
         let core_log = log.new(o!("part" => "core"));
         let clock = Clock::start();
         let core = Core::new(common.settings, common.seed, common.max_open, edges, clock, ready, core_log);
-        Ok(Self { core, inputs, orders, front, queue, nodes, counter, bound, control })
+        Ok(Self { core, inputs, orders, beside, front, queue, nodes, counter, bound, control })
     }
 
     /// Takes news of the node list while the limiter runs.
@@ -163,8 +213,102 @@
 
     /// Runs the core on this thread until it is stopped; then waits for the last answers to be written.
     pub fn run(self) {
-        self.core.run(self.inputs, self.orders);
+        let untold = self.core.run(self.inputs, self.orders);
         self.front.wait_closed(LAST_ANSWERS);
+        _ = self.beside.map(|beside| beside.farewell(untold));
+    }
+}
+
+/// A listener that a second process may have beside this one, if operators are to upgrade it.
+fn bind(at: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    if !shared {
+        return TcpListener::bind(at);
+    }
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 1_024;
+
+/// What changes in this limiter in an upgrade.
+struct Change<M: Manner> {
+    listener: TcpListener,
+    front: Arc<Front<M>>,
+    nodes: TicketNodes<M::Speech>,
+    /// Connections of agents and to ticket nodes, of a limiter that is alone.
+    shares: (usize, usize),
+    figures: Arc<Figures>,
+    order: Box<dyn Fn(Order) + Send + Sync>,
+}
+
+/// The core looks at orders first, but has a part of a processor alone.
+const CORE_WAIT: Duration = Duration::from_millis(500);
+
+impl<M: Manner> Limiting for Change<M> {
+    fn listener(&self) -> &TcpListener {
+        &self.listener
+    }
+
+    fn give(&self) -> Option<Given> {
+        let (to, given) = bounded(1);
+        (self.order)(Order::Give(to));
+        given.recv_timeout(CORE_WAIT).ok()
+    }
+
+    fn take_back(&self) {
+        (self.order)(Order::TakeBack);
+    }
+
+    fn take(&self, given: Given) {
+        let (to, taken) = bounded(1);
+        (self.order)(Order::Take(given, to));
+        _ = taken.recv_timeout(CORE_WAIT);
+    }
+
+    fn accept(&self, goes_on: bool) {
+        self.front.accepts(goes_on);
+    }
+
+    fn serving(&self) {
+        self.front.set_ready();
+    }
+
+    fn hand_over(&self, to: Option<Arc<Link>>) {
+        let pass = to.map(|link| -> Pass {
+            Arc::new(move |stream, read| {
+                link.say(Body::Connection(read.to_vec()), Some(stream.as_fd())).is_ok()
+            })
+        });
+        self.front.hand_over(pass);
+    }
+
+    fn adopt(&self, connection: OwnedFd, read: Vec<u8>) {
+        self.front.adopt(connection.into(), read);
+    }
+
+    fn hear(&self, news: Body) {
+        (self.order)(Order::Heard(news));
+    }
+
+    /// Agents' connections move from the one to the other, so that neither has many of them for long. Connections to
+    /// ticket nodes are halved.
+    fn share(&self, shared: bool) {
+        let (agents, nodes) = self.shares;
+        self.front.limit(if shared { agents - agents / 8 } else { agents });
+        self.nodes.limit(if shared { nodes / 2 } else { nodes });
+    }
+
+    fn empty(&self) -> bool {
+        self.front.is_empty() && self.figures.in_flight() == 0
+    }
+
+    fn depart(&self) {
+        (self.order)(Order::Finish);
     }
 }
 
--- a/src/openapi/agents.rs
+++ b/src/openapi/agents.rs
@@ -7,6 +7,7 @@
 use crate::limiter::{Answer, Incoming};
 use crate::net::front::{Desk, Dismissal, Manner, Reply};
 use crate::net::http::{header, Ask, Body, Broken, Reader};
+use crate::net::tap::Tap;
 use std::collections::HashMap;
 use std::io::{self, Write};
 use std::net::TcpStream;
@@ -77,17 +78,18 @@
     type Speech = HttpSpeech;
     type Shape = Shape;
 
-    fn read(&self, stream: &TcpStream, desk: &Desk<Self>) {
-        let mut reader = Reader::new(stream);
+    fn read(&self, from: &mut Tap, desk: &Desk<Self>) -> Vec<u8> {
+        let mut reader = Reader::new(from);
         loop {
             let (ask, body) = match self.message(&mut reader, desk) {
                 Ok(Some(message)) => message,
-                Ok(None) => return,
+                Ok(None) => return reader.rest().to_vec(),
                 Err(problem) => {
                     // Nothing after it can be told apart.
                     let shape = Shape { keep: false, modern: true, head: false };
                     let text = problem.text(&shape);
-                    return desk.say_last(shape, text, &problem.1);
+                    desk.say_last(shape, text, &problem.1);
+                    return Vec::new();
                 }
             };
             let arrived = Instant::now();
@@ -98,15 +100,16 @@
                 Err(problem) => {
                     let text = problem.text(&shape);
                     if !keep {
-                        return desk.say_last(shape, text, &problem.1);
+                        desk.say_last(shape, text, &problem.1);
+                        return Vec::new();
                     }
                     if !desk.say(shape, Reply::Words { text, last: false }) {
-                        return;
+                        return Vec::new();
                     }
                     continue;
                 }
             };
-            let Some((number, client)) = desk.place(shape, operation.class) else { return };
+            let Some((number, client)) = desk.place(shape, operation.class) else { return Vec::new() };
             // The core has the node list of the file before any request.
             let budget = self.description.classes.get(operation.class).map_or(0, |class| class.deadline);
             desk.ask(Incoming {
@@ -130,7 +133,7 @@
                 },
             });
             if !keep {
-                return;
+                return Vec::new();
             }
         }
     }
@@ -195,7 +198,7 @@
     /// Reads one request whole; none at the end of the connection.
     fn message(
         &self,
-        reader: &mut Reader<&TcpStream>,
+        reader: &mut Reader<&mut Tap>,
         desk: &Desk<Self>,
     ) -> Result<Option<(Ask, Vec<u8>)>, Problem> {
         let ask = match reader.request() {
@@ -220,7 +223,11 @@
             }
         }
         desk.half();
-        match reader.body(ask.body, LONGEST_BODY) {
+        // With its head taken, the rest of a request is read here too.
+        reader.source().hold(true);
+        let body = reader.body(ask.body, LONGEST_BODY);
+        reader.source().hold(false);
+        match body {
             Ok(body) => Ok(Some((ask, body))),
             Err(Broken::Closed | Broken::Io(_)) => Ok(None),
             Err(Broken::Malformed(fault)) => Err(Problem::new(400, fault)),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -79,22 +79,22 @@
 /// The decisions of one gateway.
 #[derive(Default)]
 pub struct Gateway {
-    cfg: Settings,
+    pub(crate) cfg: Settings,
     rng: fastrand::Rng,
-    servers: BTreeMap<ServerId, Server>,
-    held: BTreeMap<RequestId, Held>,
+    pub(crate) servers: BTreeMap<ServerId, Server>,
+    pub(crate) held: BTreeMap<RequestId, Held>,
     queue: BTreeSet<((u64, u64), RequestId)>,
-    customers: BTreeMap<CustomerId, Customer>,
-    paces: Vec<Pace>,
+    pub(crate) customers: BTreeMap<CustomerId, Customer>,
+    pub(crate) paces: Vec<Pace>,
     /// Virtual time v: start tag of the last request dispatched.
-    virtual_time: f64,
+    pub(crate) virtual_time: f64,
     /// Sum of the weights of the active customers.
     active: f64,
     arrivals: u64,
     /// Attempts out, and the depth D that bounds them.
     out: usize,
-    depth: f64,
-    depth_cut: Micros,
+    pub(crate) depth: f64,
+    pub(crate) depth_cut: Micros,
     /// With D under one, nothing is sent before this time.
     pause: Micros,
     /// Mean response time as a part of the aim.
@@ -102,7 +102,7 @@
     strained: Micros,
     retries: f64,
     sends: f64,
-    send_rate: f64,
+    pub(crate) send_rate: f64,
     /// Sends a second to one warm server.
     warm_load: f64,
     /// Time in µs over which judgements of servers fade.
@@ -110,17 +110,17 @@
     /// Counter: calls failed in a row, and no call before this time.
     misses: u32,
     /// Calls that may be out at once.
-    calls: f64,
+    pub(crate) calls: f64,
     call_after: Micros,
     /// Shadow price of a call in worth: asked only what is worth more, so that a crowded counter stays quick.
-    price: f64,
+    pub(crate) price: f64,
     /// Mean worth of a request, and of each plan the share of asked requests that found room.
-    mean_worth: f64,
+    pub(crate) mean_worth: f64,
     odds: Vec<[f64; 3]>,
     /// And the share of sent requests that was asked for; who asks tells the others' units too.
     asked: Vec<f64>,
     /// Customers that may need a call: what a request waits for first, then what was longest not heard of.
-    due: BTreeSet<(bool, Micros, CustomerId)>,
+    pub(crate) due: BTreeSet<(bool, Micros, CustomerId)>,
     names: BTreeMap<u64, CustomerId>,
     ticking: bool,
     second: Micros,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -15,13 +15,8 @@
     limiter(&settings)
 }
 
-/// What an operator is told.
 fn call(limiter: &Running, line: &str) -> String {
-    let mut stream = TcpStream::connect(limiter.control.expect("an operators' line")).expect("a connection");
-    stream.write_all(line.as_bytes()).expect("written");
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).expect("an answer");
-    answer
+    peers::call(limiter.control.expect("an operators' line"), line)
 }
 
 fn figures(limiter: &Running) -> BTreeMap<String, u64> {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -35,6 +35,8 @@
 
     fn bar(&mut self, _: &ServerId) {}
 
+    fn tell(&mut self, _: mossrill::handover::message::Body) {}
+
     fn listed(&mut self, _: usize, _: usize) {}
 
     fn add(&mut self, _: u64, _: u64, _: f64, _: Duration) {}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -10,7 +10,7 @@
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::{Arc, Mutex};
@@ -225,6 +225,7 @@
 /// The program itself, with its configuration in a file; ended when dropped.
 pub struct Program {
     pub at: SocketAddr,
+    pub control: Option<SocketAddr>,
     file: PathBuf,
     child: Child,
     log: BufReader<ChildStderr>,
@@ -232,16 +233,53 @@
 
 impl Program {
     pub fn start(name: &str, settings: &Value) -> Self {
+        Self::start_in(name, settings, None)
+    }
+
+    /// The same, with a folder that it has in common with others.
+    pub fn start_in(name: &str, settings: &Value, folder: Option<&Path>) -> Self {
+        let mut program = Self::spawn(name, settings, folder);
+        let line = program.logged("listening");
+        program.at = line.rsplit("at: ").next().and_then(|at| at.trim().parse().ok()).expect("an address");
+        program.control = line.split("control: ").nth(1).and_then(|at| at.split(',').next()?.parse().ok());
+        program
+    }
+
+    /// One that can't start.
+    pub fn fails_in(name: &str, settings: &Value, folder: &Path) {
+        let mut program = Self::spawn(name, settings, Some(folder));
+        program.logged("cannot start");
+        assert!(!program.child.wait().expect("an end").success());
+    }
+
+    fn spawn(name: &str, settings: &Value, folder: Option<&Path>) -> Self {
         let file = std::env::temp_dir().join(format!("mossrill-{name}-{}.json", std::process::id()));
         std::fs::write(&file, settings.to_string()).expect("a file");
         let mut command = Command::new(env!("CARGO_BIN_EXE_mossrill"));
-        let command = command.env("EDGE_CONFIG", &file).stderr(Stdio::piped());
-        let mut child = command.spawn().expect("a start");
+        let command = command.env("EDGE_CONFIG", &file).env_remove("TMPDIR").stderr(Stdio::piped());
+        let mut child = command.envs(folder.map(|at| ("TMPDIR", at))).spawn().expect("a start");
         let log = BufReader::new(child.stderr.take().expect("a log"));
-        let mut program = Self { at: SocketAddr::from(([0; 4], 0)), file, child, log };
-        let line = program.logged("listening");
-        program.at = line.rsplit("at: ").next().and_then(|at| at.trim().parse().ok()).expect("an address");
-        program
+        Self { at: SocketAddr::from(([0; 4], 0)), control: None, file, child, log }
+    }
+
+    /// What an operator is told.
+    pub fn call(&self, line: &str) -> String {
+        call(self.control.expect("an operators' line"), &format!("{line}\n"))
+    }
+
+    /// Calls until the answer begins so.
+    pub fn call_until(&self, line: &str, so: &str) {
+        until(|| self.call(line), |answer| answer.starts_with(so));
+    }
+
+    /// Says that it is to stop, and waits until it has, in order.
+    pub fn ends(mut self) {
+        let kill = format!("kill -TERM {} 2>/dev/null", self.child.id());
+        _ = Command::new("sh").args(["-c", &kill]).status().expect("a shell");
+        let status = self.child.wait().expect("an end");
+        let mut log = String::new();
+        _ = self.log.read_to_string(&mut log);
+        assert!(status.success(), "{status}: {log}");
     }
 
     /// Reads the log up to a line with these words.
@@ -287,6 +325,15 @@
     Logger::root(Discard, o!())
 }
 
+/// What an operator is told who calls there.
+pub fn call(at: SocketAddr, line: &str) -> String {
+    let mut stream = TcpStream::connect(at).expect("a connection");
+    stream.write_all(line.as_bytes()).expect("written");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    answer
+}
+
 /// An agent's connection.
 pub struct Agent(pub BufReader<TcpStream>);
 
--- /dev/null
+++ b/tests/upgrade.rs
@@ -0,0 +1,210 @@
+//! Stories of upgrades over loopback: processes that take over from each other under load, and callers that don't.
+
+mod peers;
+
+use mossrill::handover::link::Link;
+use mossrill::handover::message::Body;
+use peers::*;
+use serde_json::Value;
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// A folder that processes have in common; removed when dropped.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("mossrill-{name}-{}", std::process::id()));
+        _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir(&folder).expect("a folder");
+        Self(folder)
+    }
+
+    fn socket(&self) -> PathBuf {
+        self.0.join("mossrill-upgrade")
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// What a limiter that may be upgraded is told; its accounts come through two limiters, so that units are counted.
+fn told(counter: SocketAddr, node: SocketAddr, listen: SocketAddr) -> Value {
+    let mut told = settings(quiet_list(), counter, &[("s-1", node), ("s-2", node), ("s-3", node)]);
+    told["listen"] = listen.to_string().into();
+    told["control"] = "127.0.0.1:0".into();
+    told["settings"]["balancers"] = 2.into();
+    told["settings"]["tariffs"][0]["refill"] = 1e5.into();
+    told["settings"]["tariffs"][0]["peakUnits"] = 2e5.into();
+    told
+}
+
+fn start(folder: &Path, name: &str, told: &Value) -> Program {
+    Program::start_in(name, told, Some(folder))
+}
+
+/// Agents that ask one after another on kept connections until they are told to stop: what was asked and answered.
+struct Load {
+    stop: Arc<AtomicBool>,
+    agents: Vec<thread::JoinHandle<usize>>,
+    asked: Arc<AtomicUsize>,
+}
+
+impl Load {
+    fn on(at: SocketAddr) -> Self {
+        let (stop, asked) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+        let agent = |number| {
+            let (stop, asked) = (stop.clone(), asked.clone());
+            thread::spawn(move || {
+                let (mut agent, mut served) = (Agent::ready_at(at), 0);
+                while !stop.load(Ordering::SeqCst) {
+                    let id = format!("pay-{number}-{served}");
+                    let text = asking("pay", &id, 1900).replace("spread=1", "spread=2");
+                    // In two pieces: an upgrade may come between them.
+                    let (first, rest) = text.split_at(text.len() / 2);
+                    agent.say(first);
+                    agent.say(rest);
+                    assert_eq!(agent.answer(), id, "one answer to each request, and on the same connection");
+                    (served, _) = (served + 1, asked.fetch_add(1, Ordering::SeqCst));
+                }
+                served
+            })
+        };
+        let agents = (0..6).map(agent).collect();
+        Self { stop, agents, asked }
+    }
+
+    /// Waits until so many more have been answered.
+    fn goes_on(&self) {
+        let now = self.asked.load(Ordering::SeqCst);
+        until(|| self.asked.load(Ordering::SeqCst), |asked| *asked > now + 30);
+    }
+
+    fn end(self) -> usize {
+        self.stop.store(true, Ordering::SeqCst);
+        self.agents.into_iter().map(|agent| agent.join().expect("every answer")).sum()
+    }
+}
+
+/// A caller on the socket that takes part in an upgrade so far, and no further.
+fn caller(folder: &Folder, steps: usize) {
+    let link = Link::new(UnixStream::connect(folder.socket()).expect("a socket")).expect("a link");
+    let wait = Some(Duration::from_secs(20));
+    if steps > 0 {
+        link.say(Body::Join(mossrill::handover::stage::VERSION), None).expect("said");
+        assert!(matches!(link.hear(wait), Ok((Body::Welcome(_), Some(_)))));
+    }
+    if steps > 1 {
+        link.say(Body::Take(true), None).expect("said");
+        assert!(matches!(link.hear(wait), Ok((Body::Given(_), _))));
+    }
+    // And dies.
+}
+
+#[test]
+fn twenty_upgrades_in_a_row_lose_no_request_run_nothing_twice_and_tell_every_unit_once() {
+    let seen: Arc<Mutex<HashMap<String, usize>>> = Arc::default();
+    let count = seen.clone();
+    let (node, _seen) = resp_peer(move |_, words| {
+        *count.lock().expect("whole").entry(words[2].clone()).or_default() += 1;
+        serve(&words[2])
+    });
+    let (counter, totals) = quota_counter();
+    let folder = Folder::new("upgrades");
+    let mut now = start(&folder.0, "upgrades-0", &told(counter, node, SocketAddr::from(([127, 0, 0, 1], 0))));
+    let at = now.at;
+    now.call_until("ready", "YES");
+    let load = Load::on(at);
+    for number in 1..=20 {
+        load.goes_on();
+        // Forced failures: each leaves the one that serves.
+        match number {
+            3 => drop(UnixStream::connect(folder.socket()).expect("a socket")),
+            5 => _ = UnixStream::connect(folder.socket()).expect("a socket").write_all(&[0xff; 100]),
+            7 => {
+                let link =
+                    Link::new(UnixStream::connect(folder.socket()).expect("a socket")).expect("a link");
+                link.say(Body::Join(99), None).expect("said");
+                let answer = link.hear(Some(Duration::from_secs(20))).expect("an answer");
+                assert!(matches!(answer, (Body::Refuse(_), None)));
+            }
+            9 | 15 => caller(&folder, 1),
+            11 | 17 => caller(&folder, 2),
+            13 => {
+                let mut bad = told(counter, node, at);
+                bad["settings"]["classes"] = Value::Null;
+                Program::fails_in("upgrades-bad", &bad, &folder.0);
+            }
+            _ => {}
+        }
+        load.goes_on();
+        let next = start(&folder.0, &format!("upgrades-{number}"), &told(counter, node, at));
+        assert_eq!(next.at, at);
+        next.call_until("ready", "YES");
+        std::mem::replace(&mut now, next).ends();
+    }
+    load.goes_on();
+    let served = load.end();
+    let seen = seen.lock().expect("whole").clone();
+    assert!(seen.values().all(|runs| *runs == 1), "run twice");
+    assert_eq!(seen.len(), served);
+    // Two units a request, told by whichever process came to it.
+    let units = || totals.lock().expect("whole").values().sum::<f64>();
+    until(units, |units| *units == 2.0 * served as f64);
+}
+
+#[test]
+fn a_node_taken_out_stays_out_over_an_upgrade_and_while_it_goes_on() {
+    let (node, seen) = resp_peer(|_, words| serve(&words[2]));
+    let folder = Folder::new("bans");
+    let mut told = settings(quiet_list(), quota_counter().0, &[("s-1", node)]);
+    told["control"] = "127.0.0.1:0".into();
+    let old = start(&folder.0, "bans-old", &told);
+    old.call_until("ready", "YES");
+    old.call_until("disable-server s-1", "YES");
+    told["listen"] = old.at.to_string().into();
+    let new = start(&folder.0, "bans-new", &told);
+    new.call_until("ready", "YES");
+    old.ends();
+    let mut agent = Agent::ready_at(new.at);
+    agent.ask("look", "while-out", 1500);
+    assert!(agent.answer().starts_with("-BUSY"));
+    assert!(seen.try_iter().filter_map(|(_, words)| words).all(|words| words[2] != "while-out"));
+    assert_eq!(new.call("enable-server s-1"), "YES\n");
+}
+
+#[test]
+fn without_a_folder_a_socket_or_a_peer_that_answers_a_limiter_serves_all_the_same() {
+    let (node, _seen) = resp_peer(|_, words| serve(&words[2]));
+    let serves = |program: &Program| {
+        program.call_until("ready", "YES");
+        let mut agent = Agent::ready_at(program.at);
+        agent.ask("look", "served", 1500);
+        assert_eq!(agent.answer(), "served");
+    };
+    let mut told = settings(quiet_list(), quota_counter().0, &[("s-1", node)]);
+    told["control"] = "127.0.0.1:0".into();
+    // A file left behind by one that was killed, one that is no socket, and a folder that is not there.
+    let folder = Folder::new("stale");
+    drop(std::os::unix::net::UnixListener::bind(folder.socket()).expect("a socket"));
+    serves(&start(&folder.0, "stale", &told));
+    _ = std::fs::remove_file(folder.socket());
+    std::fs::write(folder.socket(), "no socket").expect("a file");
+    serves(&start(&folder.0, "no-socket", &told));
+    serves(&start(Path::new("/nonexistent/folder"), "no-folder", &told));
+    // One that takes the call and says nothing.
+    _ = std::fs::remove_file(folder.socket());
+    let silent = std::os::unix::net::UnixListener::bind(folder.socket()).expect("a socket");
+    serves(&start(&folder.0, "silent", &told));
+    drop(silent);
+}
