Node list: a large fleet asks within the time in which its news counts as told

A limiter of 300 waited up to 6 s before it asked, 18 s after a fault (TURN times limiters in node_list.rs), but news counts as told after 6 s, and 4 s after SIGHUP. Turns end at 2 s and waits at 3 s; fleets of up to 100 ask as before at first. Also: a watch that went on for a while and broke is asked for again within its turn.

--- a/src/net/node_list.rs
+++ b/src/net/node_list.rs
@@ -9,15 +9,19 @@
 use std::io::{self, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// An empty line comes every 2 s; a watch silent for longer than this is broken.
 const SILENCE: Duration = Duration::from_millis(4_500);
 const CONNECT: Duration = Duration::from_secs(1);
 /// The node list takes its callers one after another: time for each limiter of the fleet.
 const TURN: Duration = Duration::from_millis(20);
-/// The longest wait, in fleets of any size at least this.
-const LONGEST_WAIT: Duration = Duration::from_secs(1);
+/// The longest time for all turns, and the longest wait after a fault: at least, and at most.
+///
+/// Guards against a large fleet in which the last limiter would ask too late: what the list has to tell counts as told 6 s
+/// later at the latest, and 4 s after it has moved, whether it was asked or not.
+const LONGEST_TURNS: Duration = Duration::from_secs(2);
+const LONGEST_WAIT: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(3)];
 /// A line of the watch holds the whole list at most.
 const LONGEST_LINE: usize = 4 << 20;
 
@@ -49,7 +53,8 @@
     log: Logger,
 ) -> io::Result<Watch> {
     let (moved, moves) = unbounded();
-    let (turns, rng) = (TURN * limiters.max(1), fastrand::Rng::with_seed(seed));
+    let turns = turns(limiters);
+    let rng = fastrand::Rng::with_seed(seed);
     let watch = Watch { moved, current: Arc::default() };
     let current = watch.current.clone();
     let mut follower = Follower { from, generation: Some(generation), moves, current, turns, rng, news, log };
@@ -57,6 +62,11 @@
     Ok(watch)
 }
 
+/// Time in which a fleet of so many limiters asks.
+fn turns(limiters: u32) -> Duration {
+    (TURN * limiters.max(1)).min(LONGEST_TURNS)
+}
+
 /// The longest that may be waited after a fault, after one that may have been waited for `last`: all turns of the fleet
 /// at first and once news had come, and three times as long at the most.
 ///
@@ -66,7 +76,7 @@
     if heard {
         turns
     } else {
-        (last * 2).min(LONGEST_WAIT.max(turns * 3))
+        (last * 2).min((turns * 3).clamp(LONGEST_WAIT[0], LONGEST_WAIT[1]))
     }
 }
 
@@ -99,13 +109,15 @@
                 (self.from, self.generation, wait) = (at, None, self.turns);
                 moved = self.moves.try_recv().ok();
             }
-            let before = self.generation;
+            let (before, began) = (self.generation, Instant::now());
             let fault = self.follow();
             *lock(&self.current) = None;
             if self.moves.is_empty() {
                 warn!(self.log, "node list watch broke"; "fault" => ?fault, "generation" => self.generation);
             }
-            wait = next_wait(wait, self.turns, self.generation != before);
+            // A watch that went on for a while is no caller turned away, though it brought no news.
+            let heard = self.generation != before || began.elapsed() >= SILENCE;
+            wait = next_wait(wait, self.turns, heard);
         }
     }
 
@@ -192,7 +204,7 @@
     /// who waits longer than 250 ms; who is turned away took that time all the same. So many are left after 10 s,
     /// and when the others were served, in ms.
     fn cut_off(mut pause: impl FnMut(&mut (Duration, fastrand::Rng)) -> Duration) -> (usize, Vec<u64>) {
-        let fleet = (0..100).map(|seed| (TURN * 100, fastrand::Rng::with_seed(seed)));
+        let fleet = (0..100).map(|seed| (turns(100), fastrand::Rng::with_seed(seed)));
         let mut fleet: Vec<_> = fleet.collect();
         let mut asks: Vec<(Duration, usize)> =
             fleet.iter_mut().enumerate().map(|(n, own)| (pause(own), n)).collect();
@@ -217,7 +229,7 @@
     fn a_fleet_that_was_cut_off_together_comes_back_one_after_another() {
         let spread_out = |(wait, rng): &mut (Duration, fastrand::Rng)| {
             let pause = spread(*wait, rng.f64());
-            *wait = next_wait(*wait, TURN * 100, false);
+            *wait = next_wait(*wait, turns(100), false);
             pause
         };
         let (left, served) = cut_off(spread_out);
@@ -229,9 +241,11 @@
 
     #[test]
     fn waits_grow_with_the_fleet_and_start_again_after_news() {
-        let (few, many) = (TURN * 3, TURN * 100);
+        let (few, many) = (turns(3), turns(300));
         let longest = |turns| (0..10).fold(turns, |wait, _| next_wait(wait, turns, false));
-        assert_eq!((longest(few), longest(many)), (LONGEST_WAIT, many * 3));
+        assert_eq!((longest(few), longest(many)), (LONGEST_WAIT[0], LONGEST_WAIT[1]));
+        // A first try, one that is turned away and the next come before what the list has to tell counts as told.
+        assert!(spread(many, 1.0) + spread(next_wait(many, many, false), 1.0) < Duration::from_secs(6));
         assert_eq!(next_wait(longest(many), many, true), many);
         assert!(spread(many, 0.0) > Duration::ZERO && spread(many, 1.0) <= many);
     }
