Long values pass as they come; no thread waits with an answer or a kept connection

Now the thread that writes to the agent reads from the node, piece by piece. The road not taken: pieces through a pool and a queue, which needs a bound on what waits in it, and another on who may fill it; read only as fast as it is written, nothing waits.

Ruled out with a load of our own: lost connections, a hang (all threads waited where they should), a spin. strace on 80 agents, 3,300 requests: 56,400 sched_yield, 929 clone3, 6,600 ioctl.

--- a/src/limiter/mod.rs
+++ b/src/limiter/mod.rs
@@ -139,6 +139,14 @@
     Request(Incoming<E>),
     /// The agent that sent this request has gone away.
     Left(u64),
+    /// The first bytes of an attempt's value have come, and are passed on to whoever gets them. The attempt ends later,
+    /// without a value.
+    Began {
+        /// Which.
+        attempt: AttemptId,
+        /// What comes.
+        value: E::Value,
+    },
     /// An attempt has ended by itself.
     Ended {
         /// Which.
@@ -191,7 +199,11 @@
     id: RequestId,
     name: Option<RequestId>,
     account: CustomerId,
-    client: E::Client,
+    /// None once its answer has begun to stream.
+    client: Option<E::Client>,
+    /// The attempt whose value is on its way to the agent, and since when: nothing is sent any more, and no time-out cuts
+    /// it off.
+    streams: Option<(AttemptId, Micros)>,
     call: Arc<E::Call>,
     deadline: Micros,
     attempts: usize,
@@ -323,6 +335,7 @@
                     self.tell(now, Event::Gone { id: open.id });
                 }
             }
+            Input::Began { attempt, value } => self.began(now, attempt, value),
             Input::Ended { attempt, outcome, load, value } => {
                 if let Some(out) = self.take_out(attempt) {
                     self.ended(now, attempt, out, outcome, load, value);
@@ -455,7 +468,8 @@
             id,
             name: incoming.id,
             account: incoming.account,
-            client: incoming.client,
+            client: Some(incoming.client),
+            streams: None,
             call: Arc::new(incoming.call),
             deadline,
             attempts: 0,
@@ -471,6 +485,7 @@
     fn fall_due(&mut self, now: Micros, due: Due) {
         match due {
             Due::Module(token) => self.tell(now, Event::Timer { token }),
+            Due::Attempt(attempt) if self.streams(attempt.request).is_some() => {}
             Due::Attempt(attempt) => {
                 if let Some(out) = self.take_out(attempt) {
                     let written = self.edges.cancel(attempt);
@@ -482,6 +497,7 @@
                     self.ended(now, attempt, out, outcome, Vec::new(), None);
                 }
             }
+            Due::Request(number) if self.streams(number).is_some() => {}
             Due::Request(number) => self.overdue(now, number),
             Due::Count(call) => {
                 if let Some(name) = self.counts.remove(&call) {
@@ -501,7 +517,7 @@
     fn overdue(&mut self, now: Micros, number: u64) {
         let Some(open) = self.close(number) else { return };
         warn!(self.log, "unanswered at its deadline"; "request" => &*open.id.0, "attempts" => open.attempts);
-        self.edges.answer(open.client, Answer::Failed { late: true });
+        self.answer(open.client, Answer::Failed { late: true });
         self.tell(now, Event::Gone { id: open.id });
     }
 
@@ -523,6 +539,38 @@
         Some(out)
     }
 
+    fn streams(&self, number: u64) -> Option<(AttemptId, Micros)> {
+        self.open.get(&number)?.streams
+    }
+
+    /// Nothing if the answer has begun: where it ends, the agent sees.
+    fn answer(&mut self, client: Option<E::Client>, answer: Answer<E::Value>) {
+        if let Some(client) = client {
+            self.edges.answer(client, answer);
+        }
+    }
+
+    /// The first bytes that come win. Whatever else is out for the request is given up: its bytes would reach nobody.
+    fn began(&mut self, now: Micros, attempt: AttemptId, value: E::Value) {
+        if !self.out.contains_key(&attempt) {
+            return;
+        }
+        let Some(open) = self.open.get_mut(&attempt.request) else { return };
+        let Some(client) = open.client.take() else { return };
+        open.streams = Some((attempt, now));
+        let id = open.id.clone();
+        self.edges.answer(client, Answer::Served(value));
+        self.tell(now, Event::First { id: id.clone() });
+        let others = self.out.keys().filter(|other| other.request == attempt.request && **other != attempt);
+        for other in others.copied().collect::<Vec<_>>() {
+            self.carry_out(now, Action::Cancel { id: id.clone(), attempt: other.attempt });
+        }
+        // What the cancelled ones leave to be told.
+        while let Some(event) = self.events.pop_front() {
+            self.tell(now, event);
+        }
+    }
+
     /// The first good answer goes to the agent at once; the module hears of every end.
     fn ended(
         &mut self,
@@ -534,9 +582,15 @@
         value: Option<E::Value>,
     ) {
         let number = attempt.request;
+        // Good or broken off, the agent has what there was. Its pace is that of its first bytes: the rest goes as fast as
+        // the agent reads.
+        let streams = self.streams(number).filter(|(which, _)| *which == attempt);
+        if streams.is_some() {
+            self.close(number);
+        }
         if let (Outcome::Ok, Some(value)) = (outcome, value) {
             if let Some(open) = self.close(number) {
-                self.edges.answer(open.client, Answer::Served(value));
+                self.answer(open.client, Answer::Served(value));
             }
         }
         let open = self.open.get_mut(&number);
@@ -549,7 +603,7 @@
             attempt: attempt.attempt,
             server: out.node,
             outcome,
-            took: now.saturating_sub(out.sent),
+            took: streams.map_or(now, |(_, first)| first).saturating_sub(out.sent),
             last,
             load,
             settled: None,
@@ -601,12 +655,12 @@
                 } else {
                     Answer::Failed { late }
                 };
-                self.edges.answer(open.client, answer);
+                self.answer(open.client, answer);
             }
             Action::Fail { id } => {
                 let Some(open) = self.close(number(&id)) else { return };
                 let late = open.late || now + LAST_MOMENTS >= open.deadline;
-                self.edges.answer(open.client, Answer::Failed { late });
+                self.answer(open.client, Answer::Failed { late });
             }
             Action::Timer { after, token } => self.timers.set(now + after, Due::Module(token)),
             Action::Probe { server } => self.edges.probe(&server),
--- a/src/net/agents.rs
+++ b/src/net/agents.rs
@@ -141,7 +141,8 @@
 
     fn write(&self, mut to: &TcpStream, (): (), answer: Answer<Served>) -> io::Result<bool> {
         match answer {
-            Answer::Served(Served { buffer, value }) => {
+            Answer::Served(Served::Long(long)) => long.pass_on(to),
+            Answer::Served(Served::Whole { buffer, value }) => {
                 // As it came (the codec takes plain lengths alone): length line, value and line end stand in a
                 // row in the node's answer.
                 let digits = value.len().to_string().len();
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,8 +1,7 @@
 //! A front: connections of agents, and answers in the order of what was asked.
 //!
-//! Each connection has a thread that reads and, from its first request on, one that writes. A slot for the answer
-//! of each command goes from the one to the other in order, so a slow or broken agent holds up its own connection
-//! alone. What the connections speak is a [`Manner`].
+//! Each connection has a thread that reads and, while there are answers to be written, one that writes. They are written
+//! in the order of the commands, and a slow or broken agent holds up its own connection alone. What the connections speak is a [`Manner`].
 //!
 //! One more thread watches over all connections: what never completes a command, or is held for good after its
 //! last answer, is closed, and whoever sends what can't be read is not kept waiting behind an answer.
@@ -14,21 +13,19 @@
 use crate::figures::{End, Figures, Tally};
 use crate::hush::Hush;
 use crate::limiter::{Answer, Incoming, Input};
-use crossbeam_channel::{bounded, unbounded, Receiver, Sender};
 use slog::{info, warn, Logger};
-use std::cell::OnceCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
 /// Commands of one connection that wait for their answers; an agent that writes more has gone too far.
 const PIPELINED: usize = 64;
-/// An agent that does not read its answers for so long is dropped.
-const WRITE_WAIT: Duration = Duration::from_secs(2);
+/// An agent that does not read its answers for so long is dropped: some stand still for seconds.
+const WRITE_WAIT: Duration = Duration::from_secs(6);
 /// Time for an agent to read its last answer before the connection is closed under it.
 const LINGER: Duration = Duration::from_millis(300);
 /// Read beyond what ended a connection, so that its last words are not lost to a reset; no more than that, as
@@ -86,7 +83,24 @@
 }
 
 /// Where the answer of a request goes; without one, the agent is told that the request failed.
-pub type Slot<V> = Sender<Reply<V>>;
+pub struct Slot<V>(Option<Box<dyn FnOnce(Reply<V>) + Send>>);
+
+impl<V> Slot<V> {
+    /// Gives the answer.
+    pub fn fill(mut self, reply: Reply<V>) {
+        if let Some(fill) = self.0.take() {
+            fill(reply);
+        }
+    }
+}
+
+impl<V> Drop for Slot<V> {
+    fn drop(&mut self) {
+        if let Some(fill) = self.0.take() {
+            fill(Reply::Answer(Answer::Failed { late: false }));
+        }
+    }
+}
 
 /// What is written to an agent.
 pub enum Reply<V> {
@@ -110,9 +124,17 @@
 
 type ValueOf<M> = <<M as Manner>::Speech as Speech>::Value;
 
-/// A command that is owed an answer: its number, what the writer has to know, where the answer comes from, and where a
-/// request is counted.
-type Owed<M> = (u64, <M as Manner>::Shape, Receiver<Reply<ValueOf<M>>>, Option<Tally>);
+/// A command that is owed an answer.
+struct Owed<M: Manner> {
+    /// Its number; none of the front's own words.
+    number: u64,
+    /// What the writer has to know.
+    shape: M::Shape,
+    /// The answer, once there is one.
+    reply: Option<Reply<ValueOf<M>>>,
+    /// Where a request is counted.
+    tally: Option<Tally>,
+}
 
 /// Hands a connection over to another process, with what was read from it; false if it stays.
 pub type Pass = Arc<dyn Fn(&TcpStream, &[u8]) -> bool + Send + Sync>;
@@ -133,7 +155,7 @@
     ready: AtomicBool,
     closing: AtomicBool,
     numbers: AtomicU64,
-    links: Mutex<HashMap<u64, Arc<Link>>>,
+    links: Mutex<HashMap<u64, Arc<Link<M>>>>,
     /// A connection has ended.
     freed: Condvar,
     /// There is a connection to watch over.
@@ -144,14 +166,22 @@
 }
 
 /// A connection of an agent.
-struct Link {
+struct Link<M: Manner> {
     stream: TcpStream,
-    state: Mutex<LinkState>,
+    state: Mutex<LinkState<M>>,
     /// An answer has been written, or the connection has ended.
     answered: Condvar,
 }
 
-struct LinkState {
+struct LinkState<M: Manner> {
+    /// Answers to be written, in order.
+    queue: VecDeque<Owed<M>>,
+    /// There is a thread that writes them; for good once it ends the connection.
+    writing: bool,
+    /// Further commands may come.
+    taking: bool,
+    /// There is a thread that reads.
+    reading: bool,
     /// Requests that wait for their answers.
     waiting: Vec<u64>,
     /// Commands read and not answered yet.
@@ -173,25 +203,31 @@
 /// What the reader of a connection hands its commands to.
 pub struct Desk<'a, M: Manner> {
     front: &'a Arc<Front<M>>,
-    link: &'a Arc<Link>,
+    link: &'a Arc<Link<M>>,
     number: u64,
-    /// To the writer, once there is one, and the sign that the reader has come to its end.
-    writer: OnceCell<(Sender<Owed<M>>, Sender<()>)>,
 }
 
 impl<M: Manner> Desk<'_, M> {
     /// Takes the next place in the order of answers for a request of this class; none if the connection is closing,
     /// and what was read is not taken.
     pub fn place(&self, shape: M::Shape, class: usize) -> Option<(u64, Slot<ValueOf<M>>)> {
-        let (slot, answer) = bounded(1);
         let number = self.front.numbers.fetch_add(1, Ordering::Relaxed);
         let owed = self.link.begin()?;
-        let tally = self.front.figures.taken(class);
+        let tally = Some(self.front.figures.taken(class));
         if owed > PIPELINED {
             self.dismiss(Dismissal::TooMany);
             return None;
         }
-        (self.writer()?.send((number, shape, answer, Some(tally))).is_ok()).then_some((number, slot))
+        lock(&self.link.state).queue.push_back(Owed { number, shape, reply: None, tally });
+        let (front, link, own) = (self.front.clone(), self.link.clone(), self.number);
+        let fill = move |reply| {
+            let mut state = lock(&link.state);
+            if let Some(owed) = state.queue.iter_mut().find(|owed| owed.number == number) {
+                owed.reply = Some(reply);
+            }
+            front.begin_writing(own, &link, state);
+        };
+        Some((number, Slot(Some(Box::new(fill)))))
     }
 
     /// Says the front's own words in their place; false if the connection is closing.
@@ -228,19 +264,20 @@
         self.put(shape, Reply::Words { text, last: true });
     }
 
-    /// Without a writer, or with nothing before them, words are written at once.
+    /// With nothing before them, words are written at once.
     fn put(&self, shape: M::Shape, words: Reply<ValueOf<M>>) -> bool {
         let closing = self.front.closing.load(Ordering::SeqCst);
-        match (self.writer.get(), words) {
-            (Some((slots, _)), words) => {
-                let (slot, answer) = bounded(1);
-                _ = slot.send(words);
-                slots.send((0, shape, answer, None)).is_ok()
-            }
-            (None, Reply::Words { text, last }) => {
+        let mut state = lock(&self.link.state);
+        match words {
+            Reply::Words { text, last } if !state.writing && state.queue.is_empty() => {
+                drop(state);
                 (&self.link.stream).write_all(&text).is_ok() && self.link.end(0, closing) && !last
             }
-            (None, Reply::Answer(_)) => false,
+            words => {
+                state.queue.push_back(Owed { number: 0, shape, reply: Some(words), tally: None });
+                self.front.begin_writing(self.number, self.link, state);
+                true
+            }
         }
     }
 
@@ -249,30 +286,6 @@
         lock(&self.link.state).half.get_or_insert_with(Instant::now);
     }
 
-    fn writer(&self) -> Option<&Sender<Owed<M>>> {
-        if self.writer.get().is_none() {
-            // The places are bounded by what may be owed.
-            let (slots, owed) = unbounded();
-            let (reads, read_out) = bounded(0);
-            let (front, link, number) = (self.front.clone(), self.link.clone(), self.number);
-            let begun = spawn("agent-write", move || {
-                if front.write(&link, &owed) {
-                    // The agent is told by the end of sending, and gets a moment to read what it was told.
-                    _ = link.stream.shutdown(Shutdown::Write);
-                    _ = read_out.recv_timeout(LINGER);
-                }
-                // Ends the reader too, which tells of what is still open.
-                front.end(number, &link);
-            });
-            if let Err(fault) = begun {
-                warn!(self.front.log, "agent connection dropped"; "fault" => %fault);
-                return None;
-            }
-            _ = self.writer.set((slots, reads));
-        }
-        self.writer.get().map(|(slots, _)| slots)
-    }
-
     /// A request of this class is answered as failed by the front itself.
     pub fn failed(&self, class: usize) {
         drop(self.front.figures.taken(class));
@@ -422,7 +435,7 @@
         let began = Instant::now();
         let mut links = lock(&self.links);
         while links.len() >= self.most.load(Ordering::Relaxed) {
-            let idle = |l: &Link| {
+            let idle = |l: &Link<M>| {
                 let state = lock(&l.state);
                 (state.owed == 0 && !state.closed).then_some((state.asked, state.idle_since))
             };
@@ -462,6 +475,10 @@
         stream.set_write_timeout(Some(WRITE_WAIT))?;
         let now = Instant::now();
         let state = LinkState {
+            queue: VecDeque::new(),
+            writing: false,
+            taking: true,
+            reading: true,
             waiting: Vec::new(),
             owed: 0,
             closed: false,
@@ -487,8 +504,8 @@
         begun
     }
 
-    fn read(self: &Arc<Self>, number: u64, link: &Arc<Link>, mut first: Vec<u8>) {
-        let desk = Desk { front: self, link, number, writer: OnceCell::new() };
+    fn read(self: &Arc<Self>, number: u64, link: &Arc<Link<M>>, mut first: Vec<u8>) {
+        let desk = Desk { front: self, link, number };
         loop {
             let mut tap = Tap::new(&link.stream, self.wake.as_ref(), first);
             first = self.manner.read(&mut tap, &desk);
@@ -500,11 +517,7 @@
             // All that was asked on it is answered from here; what comes next is the other's.
             let pass = link.settled().then(|| lock(&self.pass).clone()).flatten();
             if pass.is_some_and(|pass| pass(&link.stream, &first)) {
-                // The writer ends without a word, and ends the connection here alone.
-                return match desk.writer.into_inner() {
-                    Some(_) => {}
-                    None => self.end(number, link),
-                };
+                return self.read_out(number, link);
             }
             if !link.stays() {
                 break;
@@ -518,17 +531,16 @@
                 desk.dismiss(Dismissal::TooSlow);
             }
         }
-        let writer = desk.writer.into_inner();
-        let by_choice = lock(&link.state).spoilt.is_some();
-        if by_choice && writer.is_none() {
+        let (by_choice, writing) = {
+            let mut state = lock(&link.state);
+            // The writer ends once all that is owed is written.
+            state.taking = false;
+            (state.spoilt.is_some(), state.writing || !state.queue.is_empty())
+        };
+        if by_choice && !writing {
             _ = link.stream.shutdown(Shutdown::Write);
             _ = link.stream.set_read_timeout(Some(LINGER));
         }
-        let writes = writer.map(|(slots, reads)| {
-            // The writer ends once all that is owed is written.
-            drop(slots);
-            reads
-        });
         // Up to the end: to close with bytes unread would reset the connection under its last answer.
         let (mut part, mut drained) = ([0; 4 * 1024], 0);
         let gone = loop {
@@ -544,20 +556,53 @@
         if gone {
             self.left(link);
         }
-        if writes.is_none() {
+        self.read_out(number, link);
+    }
+
+    /// The reader of a connection ends; the writer, if there is one, ends the connection after it.
+    fn read_out(&self, number: u64, link: &Link<M>) {
+        let mut state = lock(&link.state);
+        (state.taking, state.reading) = (false, false);
+        // A request has its answer at its deadline at the latest, and is written then.
+        let writes = state.writing || !state.queue.is_empty();
+        drop(state);
+        link.answered.notify_all();
+        if !writes {
+            self.end(number, link);
+        }
+    }
+
+    /// Has answers written if the next is there, by a thread that is there while there are any.
+    ///
+    /// Guards against a thread for each connection or request that waits: a system that stops and continues a process, as
+    /// for its part of a processor, does so with each of its threads.
+    fn begin_writing(
+        self: &Arc<Self>,
+        number: u64,
+        link: &Arc<Link<M>>,
+        mut state: MutexGuard<LinkState<M>>,
+    ) {
+        if state.writing || state.queue.front().is_none_or(|owed| owed.reply.is_none()) {
+            return;
+        }
+        state.writing = true;
+        drop(state);
+        let (front, own) = (self.clone(), link.clone());
+        if let Err(fault) = spawn("agent-write", move || front.write(number, &own)) {
+            warn!(self.log, "agent connection dropped"; "fault" => %fault);
             self.end(number, link);
         }
     }
 
     /// Closes a connection, and lets another take its place.
-    fn end(&self, number: u64, link: &Link) {
+    fn end(&self, number: u64, link: &Link<M>) {
         link.close();
         lock(&self.links).remove(&number);
         self.freed.notify_all();
     }
 
     /// The agent has gone away: nobody waits for what is still open.
-    fn left(&self, link: &Link) {
+    fn left(&self, link: &Link<M>) {
         let mut state = lock(&link.state);
         state.closed = true;
         let left = std::mem::take(&mut state.waiting);
@@ -565,10 +610,15 @@
         left.into_iter().for_each(|number| _ = self.queue.send(Input::Left(number)));
     }
 
-    /// Writes answers in order; true if the connection ends by the limiter's own choice.
-    fn write(&self, link: &Link, owed: &Receiver<Owed<M>>) -> bool {
-        for (number, shape, answer, tally) in owed {
-            let goes_on = match answer.recv().unwrap_or(Reply::Answer(Answer::Failed { late: false })) {
+    /// Writes answers in order while they are there.
+    fn write(&self, number: u64, link: &Link<M>) {
+        let by_choice = loop {
+            let (number, shape, reply, tally) = match link.next() {
+                Ok(owed) => owed,
+                Err(true) => return,
+                Err(false) => break false,
+            };
+            let goes_on = match reply {
                 Reply::Answer(answer) => {
                     let end = end(&answer);
                     let written = self.manner.write(&link.stream, shape, answer);
@@ -579,11 +629,18 @@
             };
             match goes_on {
                 Ok(true) if link.end(number, self.closing.load(Ordering::SeqCst)) => {}
-                Ok(_) => return true,
-                Err(_) => return false,
+                Ok(_) => break true,
+                Err(_) => break false,
             }
+        };
+        if by_choice {
+            // The agent is told by the end of sending, and gets a moment to read what it was told.
+            _ = link.stream.shutdown(Shutdown::Write);
+            let state = lock(&link.state);
+            drop(link.answered.wait_timeout_while(state, LINGER, |state| state.reading));
         }
-        false
+        // Ends the reader too, which tells of what is still open.
+        self.end(number, link);
     }
 }
 
@@ -596,7 +653,22 @@
     }
 }
 
-impl Link {
+impl<M: Manner> Link<M> {
+    /// What is to be written next; none if it is not there, and whether it may be later.
+    #[allow(clippy::type_complexity)]
+    fn next(&self) -> Result<(u64, M::Shape, Reply<ValueOf<M>>, Option<Tally>), bool> {
+        let mut state = lock(&self.state);
+        let later = state.taking || !state.queue.is_empty();
+        match state.queue.pop_front() {
+            Some(Owed { number, shape, reply: Some(reply), tally }) => Ok((number, shape, reply, tally)),
+            waits => {
+                waits.into_iter().for_each(|owed| state.queue.push_front(owed));
+                state.writing = !later;
+                Err(later)
+            }
+        }
+    }
+
     /// A command has been read; how many are owed an answer with it, or none if the connection is closing and the
     /// command is not taken.
     fn begin(&self) -> Option<usize> {
@@ -650,6 +722,7 @@
     fn close(&self) {
         let mut state = lock(&self.state);
         state.closed = true;
+        state.queue.clear();
         self.answered.notify_all();
         if !state.moved {
             _ = self.stream.shutdown(Shutdown::Both);
--- a/src/net/node_calls.rs
+++ b/src/net/node_calls.rs
@@ -2,11 +2,13 @@
 
 use super::buffers::{Buffer, SIZE};
 use super::resp::{self, Reply};
-use super::ticket_nodes::{Exchange, Speech};
+use super::ticket_nodes::{Connection, Exchange, Speech};
 use crate::interface::Outcome;
+use crossbeam_channel::{bounded, Sender};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::ops::Range;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// What the answer of a ticket node that served begins with: value, use and load.
@@ -47,15 +49,88 @@
     }
 }
 
-/// A value as a ticket node served it.
-#[derive(Debug)]
-pub struct Served {
-    /// The node's answer.
-    pub buffer: Buffer,
-    /// Where the value stands in it.
-    pub value: Range<usize>,
+/// A value as a ticket node serves it.
+pub enum Served {
+    /// It has come.
+    Whole {
+        /// The node's answer.
+        buffer: Buffer,
+        /// Where the value stands in it.
+        value: Range<usize>,
+    },
+    /// It begins to come, and is longer than a buffer.
+    Long(Long),
+}
+
+/// A value that is passed on as it comes, by the thread that writes to the agent: a slow agent slows down the one
+/// connection that the value comes on, and no piece of it is held but the one in hand.
+pub struct Long {
+    from: Arc<Connection>,
+    /// What has been read of it, and perhaps beyond.
+    first: Vec<u8>,
+    length: usize,
+    /// To the thread of the attempt.
+    ended: Sender<Passed>,
+}
+
+/// How the passing on of a long value ended.
+enum Passed {
+    /// The agent has it whole; these bytes came behind it.
+    Whole(Vec<u8>),
+    /// The node broke off, said nothing for too long or said what has no place.
+    Broken,
+    /// The agent took no more.
+    Left,
 }
 
+impl Long {
+    /// Writes the value to the agent as it comes. An agent whose value breaks off is told by the end of its connection.
+    pub fn pass_on(self, to: &TcpStream) -> io::Result<()> {
+        let (passed, end) = match self.pass(to) {
+            Ok(rest) => (Passed::Whole(rest), Ok(())),
+            Err((passed, fault)) => (passed, Err(fault)),
+        };
+        _ = self.ended.try_send(passed);
+        end
+    }
+
+    fn pass(&self, mut to: &TcpStream) -> Result<Vec<u8>, (Passed, io::Error)> {
+        let left = |fault| (Passed::Left, fault);
+        let broken = || (Passed::Broken, io::Error::from(ErrorKind::UnexpectedEof));
+        let (mut piece, mut come, mut due) = ([0; PIECE], self.first.clone(), self.length);
+        write!(to, "${due}\r\n").map_err(left)?;
+        loop {
+            let part = due.min(come.len());
+            to.write_all(&come[..part]).map_err(left)?;
+            (due, come) = (due - part, come.split_off(part));
+            // What stands behind the value says whether its length was right.
+            if due == 0 && come.len() >= 2 {
+                if !come.starts_with(b"\r\n") {
+                    return Err(broken());
+                }
+                to.write_all(b"\r\n").map_err(left)?;
+                return Ok(come.split_off(2));
+            }
+            let read = match (&self.from.stream).read(&mut piece) {
+                Err(fault) if fault.kind() == ErrorKind::Interrupted => continue,
+                Ok(0) | Err(_) => return Err(broken()),
+                Ok(read) => read,
+            };
+            let whole = due.min(read);
+            to.write_all(&piece[..whole]).map_err(left)?;
+            due -= whole;
+            come.extend_from_slice(&piece[whole..read]);
+        }
+    }
+}
+
+/// What is passed on at a time.
+const PIECE: usize = 16 * 1024;
+/// A node that has begun a long value and gives nothing more of it for so long has broken off. No deadline cuts it off.
+const STALLED: Duration = Duration::from_secs(5);
+/// What comes behind a long value is waited for so long, once the agent has it.
+const BEHIND: Duration = Duration::from_millis(500);
+
 /// RESP to ticket nodes, with the names of the figures in a load report, in the module's order.
 pub struct PlatformSpeech(pub Vec<String>);
 
@@ -69,8 +144,11 @@
         to.write_all(&command[..size])
     }
 
-    fn read(&self, _: &PlatformCall, stream: &TcpStream) -> Exchange<Served> {
-        let done = self.answer(stream);
+    fn read(&self, _: &PlatformCall, from: &Arc<Connection>, begins: &dyn Fn(Served)) -> Exchange<Served> {
+        let done = match self.answer(&from.stream) {
+            Answer::Done(done) => done,
+            Answer::Long { first, length } => return self.long(from, first, length, begins),
+        };
         match (done.outcome, &done.value) {
             // A load report where a value was due serves nobody.
             (Outcome::Ok, None) => Exchange::broke(Outcome::Error),
@@ -80,33 +158,92 @@
 
     fn probe(&self, mut stream: &TcpStream) -> Exchange<Served> {
         match stream.write_all(b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n") {
-            Ok(()) => self.answer(stream),
+            Ok(()) => match self.answer(stream) {
+                Answer::Done(done) => done,
+                Answer::Long { .. } => Exchange::broke(Outcome::Error),
+            },
             Err(_) => Exchange::broke(Outcome::ConnectFailed),
         }
     }
 }
 
+/// What a ticket node answers.
+enum Answer {
+    Done(Exchange<Served>),
+    /// A value of this length begins, of which so much has come.
+    Long {
+        first: Vec<u8>,
+        length: usize,
+    },
+}
+
 impl PlatformSpeech {
-    fn answer(&self, mut stream: &TcpStream) -> Exchange<Served> {
-        let (mut buffer, mut end) = (Buffer::take(), 0);
+    fn answer(&self, stream: &TcpStream) -> Answer {
+        let (mut buffer, mut end) = (Buffer::none(), 0);
         loop {
-            match stream.read(&mut buffer[end..]) {
-                Ok(0) => return Exchange::broke(Outcome::Reset),
+            match buffer.read(end, stream) {
+                Ok(0) => return Answer::Done(Exchange::broke(Outcome::Reset)),
                 Ok(read) => end += read,
-                Err(fault) if fault.kind() == ErrorKind::Interrupted => continue,
                 Err(fault) if fault.kind() == ErrorKind::WouldBlock => {
-                    return Exchange::broke(Outcome::Timeout)
+                    return Answer::Done(Exchange::broke(Outcome::Timeout))
                 }
-                Err(_) => return Exchange::broke(Outcome::Reset),
+                Err(_) => return Answer::Done(Exchange::broke(Outcome::Reset)),
+            }
+            if let Some((start, length)) = resp::long_value(&buffer[..end]) {
+                return Answer::Long { first: buffer[start..end].to_vec(), length };
             }
             // An array of any other length would be waited for in vain.
             let other = buffer[0] == b'*' && !buffer[..end].starts_with(&SERVED[..end.min(SERVED.len())]);
             match resp::reply(&buffer[..end], 0) {
-                _ if other => return Exchange::broke(Outcome::Error),
-                Ok(Some((reply, size))) => return self.understood(buffer, reply, size == end),
+                _ if other => return Answer::Done(Exchange::broke(Outcome::Error)),
+                Ok(Some((reply, size))) => return Answer::Done(self.understood(buffer, reply, size == end)),
                 Ok(None) if end < SIZE => {}
-                _ => return Exchange::broke(Outcome::Error),
+                _ => return Answer::Done(Exchange::broke(Outcome::Error)),
+            }
+        }
+    }
+
+    /// Has a long value passed on, and waits for its end.
+    fn long(
+        &self,
+        from: &Arc<Connection>,
+        first: Vec<u8>,
+        length: usize,
+        begins: &dyn Fn(Served),
+    ) -> Exchange<Served> {
+        let limit = |wait| from.stream.set_read_timeout(wait).is_ok();
+        if !limit(Some(STALLED)) {
+            return Exchange::broke(Outcome::Reset);
+        }
+        let (ended, passed) = bounded(1);
+        begins(Served::Long(Long { from: from.clone(), first, length, ended }));
+        match passed.recv() {
+            Ok(Passed::Whole(behind)) => {
+                let load = limit(Some(BEHIND)).then(|| self.behind(&from.stream, behind)).flatten();
+                let (keep, load) = (load.is_some() && limit(None), load.unwrap_or_default());
+                Exchange { outcome: Outcome::Ok, load, value: None, keep }
+            }
+            Ok(Passed::Broken) => Exchange::broke(Outcome::Reset),
+            // The agent's doing, or nobody wanted it.
+            Ok(Passed::Left) | Err(_) => Exchange::broke(Outcome::Cancelled),
+        }
+    }
+
+    /// Use and load behind a value: the load, or none if the connection can't be used again.
+    fn behind(&self, mut stream: &TcpStream, mut come: Vec<u8>) -> Option<Vec<f64>> {
+        loop {
+            let used = resp::reply(&come, 0).ok()?;
+            let load = used.map(|(_, at)| resp::reply(&come, at)).transpose().ok()?.flatten();
+            if let Some((load, end)) = load {
+                let report = match load {
+                    Reply::Bulk(Some(text)) => self.load(&come[text]),
+                    _ => Vec::new(),
+                };
+                return (end == come.len()).then_some(report);
             }
+            let mut part = [0; 1_024];
+            let read = stream.read(&mut part).ok().filter(|read| *read > 0 && come.len() < 4 * part.len())?;
+            come.extend_from_slice(&part[..read]);
         }
     }
 
@@ -123,7 +260,9 @@
                     _ => Vec::new(),
                 };
                 match parts.into_iter().next() {
-                    Some(Reply::Bulk(Some(value))) => done(Outcome::Ok, load, Some(Served { buffer, value })),
+                    Some(Reply::Bulk(Some(value))) => {
+                        done(Outcome::Ok, load, Some(Served::Whole { buffer, value }))
+                    }
                     _ => Exchange::broke(Outcome::Error),
                 }
             }
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -4,6 +4,8 @@
 
 /// The longest value that the platform allows.
 const LONGEST: usize = 64 * 1024;
+/// The longest value that a ticket node may give; beyond [`LONGEST`] it is passed on as it comes.
+const LONGEST_VALUE: usize = 4 << 20;
 /// The longest line of any use; one that never ends is known by its being longer.
 const LONGEST_LINE: usize = 1024;
 /// Words in a command and values in an array at most; the longest in use has five.
@@ -95,6 +97,14 @@
     Ok(Some((words, at)))
 }
 
+/// Where the value begins and how long it is, if these bytes begin the answer of a ticket node with a value that is
+/// longer than a buffer.
+pub fn long_value(bytes: &[u8]) -> Option<(usize, usize)> {
+    let head = bytes.strip_prefix(b"*3\r\n$")?;
+    let (size, next) = length(head, 0, LONGEST_VALUE).ok().flatten()?;
+    size.filter(|size| *size > LONGEST).map(|size| (bytes.len() - head.len() + next, size))
+}
+
 /// The reply that stands at `at`, and where it ends; none while it is not whole.
 pub fn reply(bytes: &[u8], at: usize) -> Parsed<Reply> {
     nested(bytes, at, 3)
--- a/src/net/ticket_nodes.rs
+++ b/src/net/ticket_nodes.rs
@@ -10,8 +10,10 @@
 use crate::interface::{Outcome, Readiness, ServerId};
 use crate::limiter::{AttemptId, Input};
 use slog::{warn, Logger};
+use socket2::SockRef;
 use std::collections::HashMap;
 use std::io::{self, ErrorKind};
+use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -24,6 +26,9 @@
 /// Idle connections kept to one node.
 const KEPT: usize = 32;
 
+/// Linux's MSG_PEEK and MSG_DONTWAIT: one call in place of three for each use of a kept connection.
+const PEEK_AT_ONCE: i32 = 0x02 | 0x40;
+
 /// How attempts are worded on a connection to a ticket node.
 pub trait Speech: Send + Sync + Sized + 'static {
     /// What is passed on.
@@ -32,8 +37,14 @@
     type Value: Send + 'static;
     /// Writes a request whole, with the time that the limiter waits; a fault means that it is not whole.
     fn write(&self, call: &Self::Call, to: &TcpStream, left: Duration) -> io::Result<()>;
-    /// Reads the answer to what was written.
-    fn read(&self, call: &Self::Call, from: &TcpStream) -> Exchange<Self::Value>;
+    /// Reads the answer to what was written. A value that is longer than a buffer is told of by `begins` at its first
+    /// bytes, and comes to its end before this returns.
+    fn read(
+        &self,
+        call: &Self::Call,
+        from: &Arc<Connection>,
+        begins: &dyn Fn(Self::Value),
+    ) -> Exchange<Self::Value>;
     /// Asks for the node's load.
     fn probe(&self, stream: &TcpStream) -> Exchange<Self::Value>;
 }
@@ -100,8 +111,9 @@
 }
 
 /// A connection, counted while anybody holds it.
-struct Connection {
-    stream: TcpStream,
+pub struct Connection {
+    /// What is read from and written to.
+    pub stream: TcpStream,
     _counted: Counted,
 }
 
@@ -288,7 +300,9 @@
     fn carry_out(mut self, job: Job<S::Call>) {
         match job {
             Job::Attempt { attempt, call, ends, line } => {
-                let Exchange { outcome, load, value, keep } = self.attempt(&call, ends, &line);
+                let queue = self.shared.queue.clone();
+                let begins = move |value| _ = queue.send(Input::Began { attempt, value });
+                let Exchange { outcome, load, value, keep } = self.attempt(&call, ends, &line, &begins);
                 {
                     let mut book = lock(&self.shared.book);
                     // A cancelled attempt has left the book, and its connection is closed.
@@ -313,7 +327,13 @@
         }
     }
 
-    fn attempt(&mut self, call: &S::Call, ends: Instant, line: &Line) -> Exchange<S::Value> {
+    fn attempt(
+        &mut self,
+        call: &S::Call,
+        ends: Instant,
+        line: &Line,
+        begins: &dyn Fn(S::Value),
+    ) -> Exchange<S::Value> {
         let Ok(connection) = self.connected() else { return Exchange::broke(Outcome::ConnectFailed) };
         {
             let mut state = lock(&line.state);
@@ -329,7 +349,7 @@
         match self.shared.speech.write(call, &connection.stream, left) {
             Ok(()) => {
                 self.shared.figures.attempt();
-                self.shared.speech.read(call, &connection.stream)
+                self.shared.speech.read(call, &connection, begins)
             }
             Err(_) => Exchange::broke(Outcome::ConnectFailed),
         }
@@ -369,7 +389,6 @@
 
 /// Nothing has come on an idle connection: neither its end nor bytes that belong to no request.
 pub fn stands(stream: &TcpStream) -> bool {
-    let quiet = stream.set_nonblocking(true).is_ok()
-        && matches!(stream.peek(&mut [0]), Err(fault) if fault.kind() == ErrorKind::WouldBlock);
-    stream.set_nonblocking(false).is_ok() && quiet
+    let come = SockRef::from(stream).recv_with_flags(&mut [MaybeUninit::uninit()], PEEK_AT_ONCE);
+    come.is_err_and(|fault| fault.kind() == ErrorKind::WouldBlock)
 }
--- a/src/net/wiring.rs
+++ b/src/net/wiring.rs
@@ -47,8 +47,7 @@
     type Value = S::Value;
 
     fn answer(&mut self, client: Slot<S::Value>, answer: Answer<S::Value>) {
-        // The agent may have gone away.
-        _ = client.try_send(Reply::Answer(answer));
+        client.fill(Reply::Answer(answer));
     }
 
     fn start(&mut self, attempt: AttemptId, node: &ServerId, call: &Arc<S::Call>, ends: Instant) {
--- a/src/openapi/node_calls.rs
+++ b/src/openapi/node_calls.rs
@@ -3,9 +3,10 @@
 use super::description::Operation;
 use crate::interface::Outcome;
 use crate::net::http::{Body, Broken, Head, Headers, Reader};
-use crate::net::ticket_nodes::{Exchange, Speech};
+use crate::net::ticket_nodes::{Connection, Exchange, Speech};
 use std::io::{self, ErrorKind, Write};
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The longest answer passed on.
@@ -54,8 +55,8 @@
         to.write_all(&text)
     }
 
-    fn read(&self, call: &HttpCall, from: &TcpStream) -> Exchange<HttpServed> {
-        let mut reader = Reader::new(from);
+    fn read(&self, call: &HttpCall, from: &Arc<Connection>, _: &dyn Fn(HttpServed)) -> Exchange<HttpServed> {
+        let mut reader = Reader::new(&from.stream);
         let answer = reader.response_with_body(LONGEST_ANSWER, call.method == "HEAD");
         let (head, body) = match answer {
             Ok(answer) => answer,
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -267,6 +267,11 @@
         call(self.control.expect("an operators' line"), &format!("{line}\n"))
     }
 
+    /// How many threads it has.
+    pub fn threads(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("a process").count()
+    }
+
     /// Calls until the answer begins so.
     pub fn call_until(&self, line: &str, so: &str) {
         until(|| self.call(line), |answer| answer.starts_with(so));
