--- a/src/net/node_list.rs
+++ b/src/net/node_list.rs
@@ -16,12 +16,14 @@
 const CONNECT: Duration = Duration::from_secs(1);
 /// The node list takes its callers one after another: time for each limiter of the fleet.
 const TURN: Duration = Duration::from_millis(20);
-/// The longest time for all turns, and the longest wait after a fault: at least, and at most.
+/// The longest wait before a list is asked that may answer at once; the longest time for all turns of a fleet that was
+/// turned away, and the longest wait then: at least, and at most.
 ///
-/// Guards against a large fleet in which the last limiter would ask too late: what the list has to tell counts as told 6 s
-/// later at the latest, and 4 s after it has moved, whether it was asked or not.
+/// Guards against a limiter of a large fleet that asks too late: what the list has to tell counts as told from the start on
+/// to a limiter that could have asked, and nothing may go to a drained node a second later.
+const LONGEST_FIRST: Duration = Duration::from_millis(700);
 const LONGEST_TURNS: Duration = Duration::from_secs(2);
-const LONGEST_WAIT: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(3)];
+const LONGEST_WAIT: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(5)];
 /// A line of the watch holds the whole list at most.
 const LONGEST_LINE: usize = 4 << 20;
 
@@ -67,16 +69,16 @@
     (TURN * limiters.max(1)).min(LONGEST_TURNS)
 }
 
-/// The longest that may be waited after a fault, after one that may have been waited for `last`: all turns of the fleet
-/// at first and once news had come, and three times as long at the most.
+/// The longest that may be waited before a call, after one that may have been waited for `last`. Short at first and once
+/// the list was heard; all turns of the fleet where it turned away, and three times as long at the most.
 ///
 /// Guards against a fleet that was cut off or started together and asks again together: a node list turns most callers
 /// away then, and limiters that asked each second kept it so for the rest of the day.
 fn next_wait(last: Duration, turns: Duration, heard: bool) -> Duration {
     if heard {
-        turns
+        turns.min(LONGEST_FIRST)
     } else {
-        (last * 2).min((turns * 3).clamp(LONGEST_WAIT[0], LONGEST_WAIT[1]))
+        (last * 2).max(turns).min((turns * 3).clamp(LONGEST_WAIT[0], LONGEST_WAIT[1]))
     }
 }
 
@@ -100,13 +102,14 @@
 
 impl<N: Fn(NodeNews)> Follower<N> {
     fn run(&mut self) {
-        let mut wait = self.turns;
+        let mut wait = next_wait(self.turns, self.turns, true);
         loop {
             // Before the first call too: limiters that start together would all ask within a few milliseconds.
             let mut moved = self.moves.recv_timeout(spread(wait, self.rng.f64())).ok();
             while let Some(at) = moved {
                 info!(self.log, "node list moved"; "to" => %at);
-                (self.from, self.generation, wait) = (at, None, self.turns);
+                (self.from, self.generation) = (at, None);
+                wait = next_wait(wait, self.turns, true);
                 moved = self.moves.try_recv().ok();
             }
             let (before, began) = (self.generation, Instant::now());
@@ -204,7 +207,8 @@
     /// who waits longer than 250 ms; who is turned away took that time all the same. So many are left after 10 s,
     /// and when the others were served, in ms.
     fn cut_off(mut pause: impl FnMut(&mut (Duration, fastrand::Rng)) -> Duration) -> (usize, Vec<u64>) {
-        let fleet = (0..100).map(|seed| (turns(100), fastrand::Rng::with_seed(seed)));
+        let fleet =
+            (0..100).map(|seed| (next_wait(turns(100), turns(100), true), fastrand::Rng::with_seed(seed)));
         let mut fleet: Vec<_> = fleet.collect();
         let mut asks: Vec<(Duration, usize)> =
             fleet.iter_mut().enumerate().map(|(n, own)| (pause(own), n)).collect();
@@ -244,9 +248,9 @@
         let (few, many) = (turns(3), turns(300));
         let longest = |turns| (0..10).fold(turns, |wait, _| next_wait(wait, turns, false));
         assert_eq!((longest(few), longest(many)), (LONGEST_WAIT[0], LONGEST_WAIT[1]));
-        // A first try, one that is turned away and the next come before what the list has to tell counts as told.
-        assert!(spread(many, 1.0) + spread(next_wait(many, many, false), 1.0) < Duration::from_secs(6));
-        assert_eq!(next_wait(longest(many), many, true), many);
+        // A first try comes well before a second has gone.
+        assert!(spread(next_wait(many, many, true), 1.0) < Duration::from_millis(800));
+        assert_eq!(next_wait(longest(many), many, true), LONGEST_FIRST);
         assert!(spread(many, 0.0) > Duration::ZERO && spread(many, 1.0) <= many);
     }
 }
