Front: an agent that still writes is waited for and keeps its place in a crowd

Two causes in front.rs: a command had 2.2 s in all, however it came; and room was made from the connection that was opened first among those that never asked, which an agent that takes two seconds for its head soon is. Bad clients send at full speed, so one from which bytes still come is a slow one: it has 6 s, and goes last. Others have 2.6 s, were 2.2: an agent may take 2 s.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -34,10 +34,16 @@
 /// Wait after a failed accept, as when descriptors run out.
 const ACCEPT_WAIT: Duration = Duration::from_millis(20);
 /// A command is to be whole by then, counted from the connection or, later, from its first byte; what can't be
-/// read is answered by then too. An agent is owed that within 3 s of connecting.
-const PATIENCE: Duration = Duration::from_millis(2_200);
+/// read is answered by then too. An agent may take 2 s, and is owed an answer within 3 s of connecting: a look later.
+const PATIENCE: Duration = Duration::from_millis(2_600);
+/// An agent from which more has come within this time is still writing, slowly, and has so long for its command. What
+/// can't be read comes at full speed and is known at once.
+const WRITING: Duration = Duration::from_millis(700);
+const SLOW_PATIENCE: Duration = Duration::from_secs(6);
 /// A connection that has nothing open for so long is closed. After 2 s it may be.
 const IDLE: Duration = Duration::from_millis(3_000);
+/// One that has nothing open for so long is closed if another needs its place.
+const SPARE: Duration = Duration::from_secs(2);
 /// Between two looks at the connections, while there are any.
 const WATCH: Duration = Duration::from_millis(200);
 /// A new connection waits so long for another to end when all are busy.
@@ -192,6 +198,8 @@
     moved: bool,
     /// A whole command has come.
     asked: bool,
+    /// A part of the next has.
+    begun: bool,
     /// Since when the connection waits for a command to become whole.
     half: Option<Instant>,
     /// What can't be read has come: whatever is still open by then is failed.
@@ -281,9 +289,11 @@
         }
     }
 
-    /// A command has begun and is not whole.
+    /// More of a command has come, and it is not whole.
     pub fn half(&self) {
-        lock(&self.link.state).half.get_or_insert_with(Instant::now);
+        let mut state = lock(&self.link.state);
+        (state.begun, state.idle_since) = (true, Instant::now());
+        state.half.get_or_insert_with(Instant::now);
     }
 
     /// A request of this class is answered as failed by the front itself.
@@ -426,18 +436,26 @@
         }
     }
 
-    /// Keeps within the descriptors: of the connections that owe nothing, the oldest goes that never asked for
-    /// anything, else the one idle longest. False if all are busy: the new one is closed then, as one that waits
-    /// would hold up all behind it.
+    /// Keeps within the descriptors: of the connections that owe nothing, one goes that never asked for anything and has
+    /// stopped writing, else one idle for so long that it may be closed, else any; of these the one from which nothing
+    /// has come for longest. False if all are busy: the new one is closed then, as one that waits would hold up all
+    /// behind it.
     ///
-    /// Guards against floods of connections that say nothing: they push out each other.
+    /// Guards against floods of connections that say nothing, or a part and no more: they push out each other, and not an
+    /// agent that writes slowly.
     fn make_room(&self) -> bool {
         let began = Instant::now();
         let mut links = lock(&self.links);
         while links.len() >= self.most.load(Ordering::Relaxed) {
             let idle = |l: &Link<M>| {
                 let state = lock(&l.state);
-                (state.owed == 0 && !state.closed).then_some((state.asked, state.idle_since))
+                let quiet = state.idle_since.elapsed();
+                let place = match (state.asked, state.begun && quiet < WRITING) {
+                    (false, false) => 0,
+                    (true, false) if quiet >= SPARE => 1,
+                    _ => 2,
+                };
+                (state.owed == 0 && !state.closed).then_some((place, state.idle_since))
             };
             let oldest = links.values().filter_map(|l| Some((idle(l)?, l))).min_by_key(|(at, _)| *at);
             if let Some((_, link)) = oldest {
@@ -484,6 +502,7 @@
             closed: false,
             moved: false,
             asked: read.is_some(),
+            begun: false,
             half: read.is_none().then_some(now),
             spoilt: None,
             opened: now,
@@ -676,7 +695,7 @@
         if state.closed {
             return None;
         }
-        (state.owed, state.asked, state.half) = (state.owed + 1, true, None);
+        (state.owed, state.asked, state.begun, state.half) = (state.owed + 1, true, false, None);
         Some(state.owed)
     }
 
@@ -701,7 +720,8 @@
         if state.closed {
             return Vec::new();
         }
-        if state.half.is_some_and(|since| now >= since + PATIENCE) {
+        let writes = now < state.idle_since + WRITING;
+        if state.half.is_some_and(|since| now >= since + if writes { SLOW_PATIENCE } else { PATIENCE }) {
             // The reader comes to its end, says so and closes.
             _ = self.stream.shutdown(Shutdown::Read);
         } else if state.half.is_none() && state.owed == 0 && now >= state.idle_since + IDLE {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -368,6 +368,34 @@
     drop(silent);
 }
 
+#[test]
+fn an_agent_that_writes_slowly_is_not_ended_nor_pushed_out_by_a_crowd_that_stopped_half_way() {
+    let (node, _seen) = resp_peer(|_, words| serve(&words[2]));
+    let mut settings = settings(quiet_list(), quota_counter().0, &[("s-1", node)]);
+    settings["limits"]["sockets"] = 96.into();
+    let limiter = limiter(&settings);
+    drop(Agent::ready(&limiter));
+    // The oldest that has not asked for anything, but not the one from which nothing has come for longest.
+    let (mut slow, text) = (Agent::connect(&limiter), asking("look", "slow", 1500));
+    let began = std::time::Instant::now();
+    let pieces: Vec<&[u8]> = text.as_bytes().chunks(text.len().div_ceil(12)).collect();
+    let mut crowd = Vec::new();
+    for piece in pieces {
+        slow.0.get_mut().write_all(piece).expect("written");
+        for _ in 0..10 {
+            let mut half = Agent::connect(&limiter);
+            _ = half.0.get_mut().write_all(b"*5\r\n$9\r\nSVC.");
+            crowd.push(half);
+        }
+        // Their turn has come once another is served.
+        drop(Agent::ready(&limiter));
+        std::thread::sleep(std::time::Duration::from_millis(250));
+    }
+    // Longer than one that has stopped writing is waited for.
+    assert!(began.elapsed() > std::time::Duration::from_secs(3));
+    assert_eq!(slow.answer(), "slow");
+}
+
 #[test]
 fn a_spoilt_answer_reaches_nobody_and_leaves_a_connection_that_is_not_used_again() {
     let spoilt = [
