OpenAPI front: long bodies pass as they come

A body over 64 KiB with a known length goes from node to agent as it comes, as values do on the platform; one that breaks off is shorter than it announced. The road not taken: chunked answers to the agent, which HTTP/1.0 agents can't read; bodies in chunks are gathered up to 1 MiB, as before. Shown by a story over loopback.

--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -218,6 +218,16 @@
         self.start == self.end
     }
 
+    /// The next bytes of a body, one at least and so many at most, as they come.
+    pub fn part(&mut self, most: usize) -> Result<&[u8], Broken> {
+        if self.start == self.end {
+            self.must_more()?;
+        }
+        let size = most.min(self.end - self.start);
+        self.start += size;
+        Ok(&self.buffer[self.start - size..self.start])
+    }
+
     /// Reads a whole body.
     pub fn body(&mut self, body: Body, most: usize) -> Result<Vec<u8>, Broken> {
         let mut whole = Vec::new();
--- a/src/net/node_calls.rs
+++ b/src/net/node_calls.rs
@@ -127,7 +127,7 @@
 /// What is passed on at a time.
 const PIECE: usize = 16 * 1024;
 /// A node that has begun a long value and gives nothing more of it for so long has broken off. No deadline cuts it off.
-const STALLED: Duration = Duration::from_secs(5);
+pub const STALLED: Duration = Duration::from_secs(5);
 /// What comes behind a long value is waited for so long, once the agent has it.
 const BEHIND: Duration = Duration::from_millis(500);
 
--- a/src/net/ticket_nodes.rs
+++ b/src/net/ticket_nodes.rs
@@ -12,7 +12,7 @@
 use slog::{warn, Logger};
 use socket2::SockRef;
 use std::collections::HashMap;
-use std::io::{self, ErrorKind};
+use std::io::{self, ErrorKind, Read};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -117,6 +117,15 @@
     _counted: Counted,
 }
 
+/// A share in a connection that reads from it.
+pub struct Source(pub Arc<Connection>);
+
+impl Read for Source {
+    fn read(&mut self, to: &mut [u8]) -> io::Result<usize> {
+        (&self.0.stream).read(to)
+    }
+}
+
 /// One of the connections that there may be.
 struct Counted(Arc<AtomicUsize>);
 
--- a/src/openapi/agents.rs
+++ b/src/openapi/agents.rs
@@ -1,7 +1,7 @@
 //! The HTTP front: requests matched with the description, answers as HTTP says.
 
 use super::description::{Description, Found, Operation};
-use super::node_calls::{write_headers, HttpCall, HttpServed, HttpSpeech};
+use super::node_calls::{write_headers, HttpBody, HttpCall, HttpServed, HttpSpeech};
 use crate::config::Account;
 use crate::interface::CustomerId;
 use crate::limiter::{Answer, Incoming};
@@ -151,6 +151,10 @@
     fn write(&self, mut to: &TcpStream, shape: Shape, answer: Answer<HttpServed>) -> io::Result<bool> {
         let text = match answer {
             Answer::Served(HttpServed { head, body }) => {
+                let length = match &body {
+                    HttpBody::Whole(body) => body.len(),
+                    HttpBody::Long(long) => long.length,
+                };
                 let mut text = format!("HTTP/1.1 {} {}\r\n", head.status, head.reason).into_bytes();
                 write_headers(&mut text, &head.headers, &[])?;
                 match header(&head.headers, "content-length") {
@@ -161,11 +165,17 @@
                         text.extend_from_slice(b"\r\n");
                     }
                     _ if shape.head || head.status == 204 || head.status == 304 => {}
-                    _ => write!(text, "Content-Length: {}\r\n", body.len())?,
+                    _ => write!(text, "Content-Length: {length}\r\n")?,
                 }
                 text.extend_from_slice(connection(&shape).as_bytes());
                 text.extend_from_slice(b"\r\n");
-                text.extend_from_slice(&body);
+                match body {
+                    HttpBody::Whole(body) => text.extend_from_slice(&body),
+                    HttpBody::Long(long) => {
+                        to.write_all(&text)?;
+                        return long.pass_on(to).map(|()| shape.keep);
+                    }
+                }
                 text
             }
             Answer::Refused { after, late } => {
--- a/src/openapi/node_calls.rs
+++ b/src/openapi/node_calls.rs
@@ -3,14 +3,19 @@
 use super::description::Operation;
 use crate::interface::Outcome;
 use crate::net::http::{Body, Broken, Head, Headers, Reader};
-use crate::net::ticket_nodes::{Connection, Exchange, Speech};
+use crate::net::node_calls::STALLED;
+use crate::net::ticket_nodes::{Connection, Exchange, Source, Speech};
+use crossbeam_channel::{bounded, Sender};
 use std::io::{self, ErrorKind, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The longest answer passed on.
+/// The longest answer in chunks or up to the end of the connection, which is gathered before it is passed on.
 const LONGEST_ANSWER: usize = 1 << 20;
+/// A body of more bytes than this, and of no more than the other, is passed on as it comes.
+const LONGEST_WHOLE: usize = 64 * 1024;
+const LONGEST_LONG: usize = 4 << 20;
 /// Tells a ticket node for how many milliseconds the limiter waits.
 pub const TIME_LEFT: &str = "X-Deadline-Ms";
 
@@ -33,7 +38,46 @@
     /// Status and header lines.
     pub head: Head,
     /// Its body.
-    pub body: Vec<u8>,
+    pub body: HttpBody,
+}
+
+/// The body of an answer.
+pub enum HttpBody {
+    /// It has come.
+    Whole(Vec<u8>),
+    /// It is longer than a buffer and is passed on as it comes.
+    Long(HttpLong),
+}
+
+/// A long body, read by the thread that writes to the agent.
+pub struct HttpLong {
+    reader: Reader<Source>,
+    /// How long it is.
+    pub length: usize,
+    /// To the thread of the attempt: that it is whole, and whether the connection can be used again; or that the node broke
+    /// off.
+    ended: Sender<Option<bool>>,
+}
+
+impl HttpLong {
+    /// Writes the body to the agent as it comes. One that breaks off is shorter than its announced length.
+    pub fn pass_on(mut self, mut to: &TcpStream) -> io::Result<()> {
+        let mut due = self.length;
+        while due > 0 {
+            match self.reader.part(due) {
+                Ok(part) => {
+                    due -= part.len();
+                    to.write_all(part)?;
+                }
+                Err(_) => {
+                    _ = self.ended.try_send(None);
+                    return Err(ErrorKind::UnexpectedEof.into());
+                }
+            }
+        }
+        _ = self.ended.try_send(Some(self.reader.drained()));
+        Ok(())
+    }
 }
 
 /// HTTP to ticket nodes.
@@ -55,24 +99,53 @@
         to.write_all(&text)
     }
 
-    fn read(&self, call: &HttpCall, from: &Arc<Connection>, _: &dyn Fn(HttpServed)) -> Exchange<HttpServed> {
-        let mut reader = Reader::new(&from.stream);
-        let answer = reader.response_with_body(LONGEST_ANSWER, call.method == "HEAD");
-        let (head, body) = match answer {
-            Ok(answer) => answer,
-            Err(Broken::Io(fault)) if fault.kind() == ErrorKind::WouldBlock => {
-                return Exchange::broke(Outcome::Timeout)
+    fn read(
+        &self,
+        call: &HttpCall,
+        from: &Arc<Connection>,
+        begins: &dyn Fn(HttpServed),
+    ) -> Exchange<HttpServed> {
+        let mut reader = Reader::new(Source(from.clone()));
+        let head = loop {
+            match reader.response() {
+                Ok(head) if head.status < 200 => {}
+                Ok(head) if call.method == "HEAD" => break Head { body: Body::Empty, ..head },
+                Ok(head) => break head,
+                Err(fault) => return broke(&fault),
             }
-            Err(Broken::Closed | Broken::Io(_)) => return Exchange::broke(Outcome::Reset),
-            Err(Broken::Malformed(_) | Broken::TooLarge) => return Exchange::broke(Outcome::Error),
         };
-        let keep = head.keep && head.body != Body::ToEnd && reader.drained();
         let outcome = match head.status {
             status if call.operation.never_ran(status) => Outcome::Full,
             500.. => Outcome::Error,
             _ => Outcome::Ok,
         };
-        Exchange { outcome, load: Vec::new(), value: Some(HttpServed { head, body }), keep }
+        let (keeps, form) = (head.keep, head.body);
+        match form {
+            Body::Length(length) if outcome == Outcome::Ok && length > LONGEST_WHOLE => {
+                if length > LONGEST_LONG || from.stream.set_read_timeout(Some(STALLED)).is_err() {
+                    return Exchange::broke(Outcome::Error);
+                }
+                let (ended, passed) = bounded(1);
+                begins(HttpServed { head, body: HttpBody::Long(HttpLong { reader, length, ended }) });
+                match passed.recv() {
+                    Ok(Some(drained)) => {
+                        let keep = keeps && drained && from.stream.set_read_timeout(None).is_ok();
+                        Exchange { outcome, load: Vec::new(), value: None, keep }
+                    }
+                    Ok(None) => Exchange::broke(Outcome::Reset),
+                    // The agent's doing, or nobody wanted it.
+                    Err(_) => Exchange::broke(Outcome::Cancelled),
+                }
+            }
+            _ => match reader.body(form, LONGEST_ANSWER) {
+                Ok(body) => {
+                    let keep = keeps && form != Body::ToEnd && reader.drained();
+                    let value = Some(HttpServed { head, body: HttpBody::Whole(body) });
+                    Exchange { outcome, load: Vec::new(), value, keep }
+                }
+                Err(fault) => broke(&fault),
+            },
+        }
     }
 
     fn probe(&self, _: &TcpStream) -> Exchange<HttpServed> {
@@ -81,6 +154,15 @@
     }
 }
 
+/// What an answer that can't be read makes of its attempt.
+fn broke(fault: &Broken) -> Exchange<HttpServed> {
+    Exchange::broke(match fault {
+        Broken::Io(fault) if fault.kind() == ErrorKind::WouldBlock => Outcome::Timeout,
+        Broken::Closed | Broken::Io(_) => Outcome::Reset,
+        Broken::Malformed(_) | Broken::TooLarge => Outcome::Error,
+    })
+}
+
 /// Header lines that belong to one connection, or that each side writes anew.
 const OWN: [&str; 10] = [
     "connection",
--- a/tests/openapi.rs
+++ b/tests/openapi.rs
@@ -6,6 +6,7 @@
 use mossrill::openapi::description::Description;
 use peers::*;
 use serde_json::{json, Value};
+use std::io::{BufReader, Read, Write};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
@@ -206,3 +207,36 @@
     assert_eq!((asked(&at_old), asked(&at_new)), (0, 1));
     until(|| totals.lock().expect("whole").len(), |counts| *counts > 0);
 }
+
+#[test]
+fn a_long_body_comes_as_it_is_served_and_one_that_breaks_off_is_seen_not_to_be_whole() {
+    const LENGTH: usize = 1 << 20;
+    let (go_on, told) = std::sync::mpsc::channel::<bool>();
+    let told = Mutex::new(told);
+    let at = peer(move |_, stream| {
+        let mut from = BufReader::new(stream);
+        while http(&mut from, false).is_ok() {
+            let head =
+                format!("HTTP/1.1 200 OK\r\nContent-Length: {LENGTH}\r\n\r\n{}", "a".repeat(LENGTH / 2));
+            _ = from.get_mut().write_all(head.as_bytes());
+            if told.lock().expect("whole").recv() != Ok(true) {
+                return;
+            }
+            _ = from.get_mut().write_all("b".repeat(LENGTH / 2).as_bytes());
+        }
+    });
+    let limiter = openapi_limiter(&file(&[at], json!({})), DESCRIPTION);
+    let mut agent = Agent::connect(&limiter);
+    // Twice on one connection, the second time to no good end.
+    for goes_on in [true, false] {
+        agent.say(&request(LOOK, "", ""));
+        while !agent.line().is_empty() {}
+        // The first half, while the second has not left the node.
+        let mut half = vec![0; LENGTH / 2];
+        agent.0.read_exact(&mut half).expect("the first half");
+        go_on.send(goes_on).expect("a node");
+        let read = agent.0.read_exact(&mut half);
+        assert_eq!(read.is_ok(), goes_on, "{read:?}");
+        assert!(!goes_on || half.iter().all(|b| *b == b'b'));
+    }
+}
