The end: agents in mid-command are waited for, and a hand-over is not cut short

Told to stop, an old process closed connections that were just being handed over, and any limiter closed under an agent that was writing its command: stories over loopback fail without the change. New story: a newcomer that hangs, SIGHUP and a silent counter in an upgrade, the old process killed.

--- a/src/limiter/mod.rs
+++ b/src/limiter/mod.rs
@@ -504,10 +504,14 @@
                     self.tell(now, Event::Counted { name, total: 0.0, outcome: Outcome::Timeout });
                 }
             }
-            Due::Quiet => self.quiet = true,
+            // While a successor takes over, the last connections are handed over first.
+            Due::Quiet => self.quiet = self.given.is_none(),
             Due::Stop => {
                 let open: Vec<u64> = self.open.keys().copied().collect();
-                warn!(self.log, "out of time to stop"; "open" => open.len());
+                self.quiet = true;
+                if !open.is_empty() {
+                    warn!(self.log, "out of time to stop"; "open" => open.len());
+                }
                 open.into_iter().for_each(|number| self.overdue(now, number));
             }
         }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -399,14 +399,22 @@
         self.ready.load(Ordering::Relaxed)
     }
 
-    /// Closes every connection that owes nothing, and each other once it has answered.
+    /// Closes every connection that owes nothing, and each other once it has answered; none while they are handed over.
     pub fn close_idle(&self) {
+        if lock(&self.pass).is_some() {
+            return;
+        }
         self.closing.store(true, Ordering::SeqCst);
         for link in lock(&self.links).values() {
             link.close_if_idle();
         }
     }
 
+    /// Some agent is in the middle of a command.
+    pub fn is_written_to(&self) -> bool {
+        lock(&self.links).values().any(|link| lock(&link.state).writes())
+    }
+
     /// Waits until every connection has ended, or for so long.
     pub fn wait_closed(&self, most: Duration) {
         let links = lock(&self.links);
@@ -450,7 +458,7 @@
             let idle = |l: &Link<M>| {
                 let state = lock(&l.state);
                 let quiet = state.idle_since.elapsed();
-                let place = match (state.asked, state.begun && quiet < WRITING) {
+                let place = match (state.asked, state.writes()) {
                     (false, false) => 0,
                     (true, false) if quiet >= SPARE => 1,
                     _ => 2,
@@ -459,7 +467,7 @@
             };
             let oldest = links.values().filter_map(|l| Some((idle(l)?, l))).min_by_key(|(at, _)| *at);
             if let Some((_, link)) = oldest {
-                link.close_if_idle();
+                link.give_way();
             } else if began.elapsed() >= ROOM_WAIT {
                 if let Some(more) = self.full.due() {
                     warn!(self.log, "agent connections full"; "open" => links.len(), "unlogged" => more);
@@ -672,6 +680,13 @@
     }
 }
 
+impl<M: Manner> LinkState<M> {
+    /// The agent is in the middle of a command.
+    fn writes(&self) -> bool {
+        self.begun && self.idle_since.elapsed() < WRITING
+    }
+}
+
 impl<M: Manner> Link<M> {
     /// What is to be written next; none if it is not there, and whether it may be later.
     #[allow(clippy::type_complexity)]
@@ -720,8 +735,8 @@
         if state.closed {
             return Vec::new();
         }
-        let writes = now < state.idle_since + WRITING;
-        if state.half.is_some_and(|since| now >= since + if writes { SLOW_PATIENCE } else { PATIENCE }) {
+        let patience = if state.writes() { SLOW_PATIENCE } else { PATIENCE };
+        if state.half.is_some_and(|since| now >= since + patience) {
             // The reader comes to its end, says so and closes.
             _ = self.stream.shutdown(Shutdown::Read);
         } else if state.half.is_none() && state.owed == 0 && now >= state.idle_since + IDLE {
@@ -731,7 +746,16 @@
         Vec::new()
     }
 
+    /// Ends if nothing is owed, unless the agent is in the middle of a command.
     fn close_if_idle(&self) {
+        let writes = lock(&self.state).writes();
+        if !writes {
+            self.give_way();
+        }
+    }
+
+    /// Ends if nothing is owed.
+    fn give_way(&self) {
         let mut state = lock(&self.state);
         if state.owed == 0 && !state.moved {
             state.closed = true;
--- a/src/net/wiring.rs
+++ b/src/net/wiring.rs
@@ -205,7 +205,12 @@
         let stop = move || {
             std::thread::sleep(STILL_COMING);
             front.close_idle();
-            _ = queue.send(Input::Stop(Instant::now() + LAST_REQUESTS));
+            let began = Instant::now();
+            // Guards against an end under an agent that takes two seconds for its command.
+            while front.is_written_to() && began.elapsed() < LAST_COMMANDS {
+                std::thread::sleep(STILL_WRITTEN);
+            }
+            _ = queue.send(Input::Stop(began + LAST_REQUESTS));
         };
         Stopper(Box::new(stop))
     }
@@ -320,6 +325,9 @@
 
 /// Connections keep coming for up to 0.4 s after the word to stop.
 const STILL_COMING: Duration = Duration::from_millis(450);
+/// Agents in the middle of a command are waited for so long, with a look at them now and then.
+const LAST_COMMANDS: Duration = Duration::from_secs(2);
+const STILL_WRITTEN: Duration = Duration::from_millis(50);
 /// What was taken by then is answered within its deadline, and all before the limiter is killed: no earlier
 /// than 3.7 s after the word to stop where deadlines are longest.
 const LAST_REQUESTS: Duration = Duration::from_millis(2_900);
--- a/tests/long.rs
+++ b/tests/long.rs
@@ -134,6 +134,24 @@
     ended.recv_timeout(std::time::Duration::from_secs(20)).expect("the connection to the node ends");
 }
 
+#[test]
+fn told_to_stop_it_waits_for_an_agent_in_the_middle_of_a_command() {
+    let (node, _seen) = resp_peer(|_, words| serve(&words[2]));
+    let limiter = started(node);
+    let mut agent = Agent::ready(&limiter);
+    let text = asking("look", "slow", 1500);
+    let (first, rest) = text.split_at(20);
+    agent.say(first);
+    let stopped = std::thread::spawn(move || limiter.stop());
+    // In pieces, well after connections have stopped coming.
+    for piece in rest.as_bytes().chunks(10) {
+        std::thread::sleep(std::time::Duration::from_millis(80));
+        agent.0.get_mut().write_all(piece).expect("written");
+    }
+    assert_eq!(agent.answer(), "slow");
+    stopped.join().expect("an end in order");
+}
+
 #[test]
 fn connections_that_wait_hold_no_thread_but_the_one_that_reads() {
     // A system that gives a process a part of a processor by stopping and continuing it does so with each of its threads:
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -267,6 +267,17 @@
         call(self.control.expect("an operators' line"), &format!("{line}\n"))
     }
 
+    /// Waits until it has ended.
+    pub fn logged_end(&mut self) {
+        _ = self.log.read_to_string(&mut String::new());
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+    }
+
     /// How many threads it has.
     pub fn threads(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("a process").count()
@@ -300,8 +311,7 @@
     /// Replaces the file and says so.
     pub fn reload(&mut self, text: &str) {
         std::fs::write(&self.file, text).expect("a file");
-        let kill = format!("kill -HUP {}", self.child.id());
-        assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+        self.signal("HUP");
     }
 }
 
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -183,6 +183,44 @@
     assert_eq!(new.call("enable-server s-1"), "YES\n");
 }
 
+#[test]
+fn a_newcomer_that_hangs_and_an_old_one_that_is_killed_leave_one_that_serves() {
+    let (node, _seen) = resp_peer(|_, words| serve(&words[2]));
+    let folder = Folder::new("deaths");
+    // A counter that takes calls and says nothing, all the time.
+    let mut told = settings(quiet_list(), http_peer(|_, _, _| Act::Hang), &[("s-1", node)]);
+    told["control"] = "127.0.0.1:0".into();
+    let mut old = start(&folder.0, "deaths-old", &told);
+    old.call_until("ready", "YES");
+    told["listen"] = old.at.to_string().into();
+    let serves = |id: &str| {
+        let mut agent = Agent::ready_at(old.at);
+        agent.ask("look", id, 1900);
+        assert_eq!(agent.answer(), id);
+    };
+    // Stopped as soon as it has joined, and killed: the old one takes everything back, also with a new file on the way.
+    let stuck = start(&folder.0, "deaths-stuck", &told);
+    stuck.signal("STOP");
+    old.signal("HUP");
+    drop(stuck);
+    serves("after-stuck");
+    // The old one dies at once when the new one serves.
+    let new = start(&folder.0, "deaths-new", &told);
+    new.call_until("ready", "YES");
+    old.signal("KILL");
+    old.logged_end();
+    let mut agent = Agent::ready_at(new.at);
+    agent.ask("look", "after-death", 1900);
+    assert_eq!(agent.answer(), "after-death");
+    // And the next upgrade finds the new one.
+    let next = start(&folder.0, "deaths-next", &told);
+    next.call_until("ready", "YES");
+    new.ends();
+    let mut agent = Agent::ready_at(next.at);
+    agent.ask("look", "after-all", 1900);
+    assert_eq!(agent.answer(), "after-all");
+}
+
 #[test]
 fn without_a_folder_a_socket_or_a_peer_that_answers_a_limiter_serves_all_the_same() {
     let (node, _seen) = resp_peer(|_, words| serve(&words[2]));
