--- a/src/policy.rs
+++ b/src/policy.rs
@@ -193,8 +193,8 @@
         let (step, class) = (self.step(), &self.cfg.classes[request.class]);
         let elapsed = self.paces[request.class].elapsed(request.budget, class.deadline);
         let late = elapsed >= class.aim;
-        // A later try whose first is past its aim earns nothing, one with less time than a look takes is lost if
-        // kept, and with every server taken out there is none to wait for: refused at once, before they take quota.
+        // A later try whose first is past its aim earns nothing, one with less time than a look takes is lost
+        // if kept, and with every server taken out there is none to wait for: all are refused at once.
         if request.budget < 4 * step || (late && class.late_worth <= 0.0) || self.all_out() {
             act.push(Action::Refuse { id: request.id, after: self.come_back() });
             return;
