Front: agents that hold idle connections leave room, and a PING alone keeps no place

Probe (connections of one limiter counted twice a second): from 2.9 s on agents held 128 connections, their third of 384 descriptors to the last one, all but 3 to 9 of them idle, most for under 2 s: they ask once and hold. 128 places over the 3 s after which one is closed are 43 requests a second. Beside them a crowd of 47 silent connections a second had the other 32 places, and in bursts 300 a second said PING; these counted as having asked, and 300 to 500 idle agents a second were pushed out for them. Lines at fault: `Link::begin` (any command counted as asked), `Front::watch` (nothing closed before 3 s). Change: `asked` is set by requests alone; above three quarters of what agents may hold, the connections idle longest are closed, from 0.3 s on. Two stories fail without the change.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -44,6 +44,9 @@
 const IDLE: Duration = Duration::from_millis(3_000);
 /// One that has nothing open for so long is closed if another needs its place.
 const SPARE: Duration = Duration::from_secs(2);
+/// Agents may hold four fifths of the places; what is above is for floods. Above three fifths, connections that have
+/// nothing open for so long are closed.
+const HELD: Duration = Duration::from_millis(300);
 /// Between two looks at the connections, while there are any.
 const WATCH: Duration = Duration::from_millis(200);
 /// A new connection waits so long for another to end when all are busy.
@@ -196,7 +199,7 @@
     closed: bool,
     /// Handed over: another process reads and writes on it.
     moved: bool,
-    /// A whole command has come.
+    /// A request has come: neither the front's own words nor what can't be understood counts.
     asked: bool,
     /// Pieces of the next that have come.
     pieces: u32,
@@ -226,7 +229,10 @@
             self.dismiss(Dismissal::TooMany);
             return None;
         }
-        lock(&self.link.state).queue.push_back(Owed { number, shape, reply: None, tally });
+        let mut state = lock(&self.link.state);
+        state.asked = true;
+        state.queue.push_back(Owed { number, shape, reply: None, tally });
+        drop(state);
         let (front, link, own) = (self.front.clone(), self.link.clone(), self.number);
         let fill = move |reply| {
             let mut state = lock(&link.state);
@@ -492,7 +498,29 @@
                 let left = link.look(now);
                 left.into_iter().for_each(|number| _ = self.queue.send(Input::Left(number)));
             }
+            self.thin_out(&links);
+        }
+    }
+
+    /// Leaves a quarter of what agents may hold free: of the connections on which requests have come, those idle longest
+    /// are closed.
+    ///
+    /// Guards against agents that ask once and hold their connection: once they hold all that they may, no further one of
+    /// theirs reaches the limiter.
+    fn thin_out(&self, links: &HashMap<u64, Arc<Link<M>>>) {
+        let most = self.most.load(Ordering::Relaxed) * 3 / 5;
+        if links.len() <= most {
+            return;
+        }
+        let (mut asked, mut idle) = (0, Vec::new());
+        for link in links.values() {
+            let state = lock(&link.state);
+            asked += usize::from(state.asked);
+            let quiet = state.owed == 0 && !state.writes() && state.idle_since.elapsed() >= HELD;
+            idle.extend((state.asked && quiet).then_some((state.idle_since, link)));
         }
+        idle.sort_unstable_by_key(|(since, _)| *since);
+        idle.iter().take(asked.saturating_sub(most)).for_each(|(_, link)| link.give_way());
     }
 
     /// Serves a connection that is new, or one with what another process has read from it.
@@ -710,7 +738,7 @@
         if state.closed {
             return None;
         }
-        (state.owed, state.asked, state.pieces, state.half) = (state.owed + 1, true, 0, None);
+        (state.owed, state.pieces, state.half) = (state.owed + 1, 0, None);
         Some(state.owed)
     }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -355,11 +355,10 @@
 
 #[test]
 fn connections_that_say_nothing_push_out_each_other_and_not_an_agent() {
-    let (node, _seen) = resp_peer(|_, words| serve(&words[2]));
-    let mut settings = settings(quiet_list(), quota_counter().0, &[("s-1", node)]);
-    settings["limits"]["sockets"] = 96.into();
-    let limiter = limiter(&settings);
+    let limiter = crowded();
     let mut agent = Agent::ready(&limiter);
+    agent.ask("look", "id-0", 1500);
+    assert_eq!(agent.answer(), "id-0");
     // Every other one writes a part of a command and no more.
     let crowd = (0..200).map(|number| {
         let mut crowd = Agent::connect(&limiter);
@@ -374,12 +373,49 @@
     drop(silent);
 }
 
-#[test]
-fn an_agent_that_writes_slowly_is_not_ended_nor_pushed_out_by_a_crowd_that_stopped_half_way() {
+/// A limiter with places for 40 agents' connections, of which agents may hold 32.
+fn crowded() -> Running {
     let (node, _seen) = resp_peer(|_, words| serve(&words[2]));
     let mut settings = settings(quiet_list(), quota_counter().0, &[("s-1", node)]);
     settings["limits"]["sockets"] = 96.into();
-    let limiter = limiter(&settings);
+    limiter(&settings)
+}
+
+#[test]
+fn connections_that_were_only_looked_at_push_out_each_other_and_not_an_agent() {
+    let limiter = crowded();
+    let mut agent = Agent::ready(&limiter);
+    agent.ask("look", "id-1", 1500);
+    assert_eq!(agent.answer(), "id-1");
+    // Each is later than the agent's last word.
+    let looks: Vec<Agent> = (0..60).map(|_| Agent::ready(&limiter)).collect();
+    agent.ask("look", "id-2", 1500);
+    assert_eq!(agent.answer(), "id-2");
+    drop(looks);
+}
+
+#[test]
+fn agents_that_ask_once_and_hold_their_connections_leave_room_for_others() {
+    let limiter = crowded();
+    drop(Agent::ready(&limiter));
+    let mut held: Vec<Agent> = (0..30).map(|_| Agent::connect(&limiter)).collect();
+    for (number, agent) in held.iter_mut().enumerate() {
+        agent.ask("look", &format!("id-{number}"), 1500);
+        assert_eq!(agent.answer(), format!("id-{number}"));
+    }
+    // Those idle longest go, down to three quarters of what agents may hold, long before a connection is too old.
+    for agent in &mut held[..6] {
+        assert_eq!(agent.line(), "");
+    }
+    for agent in &mut held[6..] {
+        agent.ask("look", "again", 1500);
+        assert_eq!(agent.answer(), "again");
+    }
+}
+
+#[test]
+fn an_agent_that_writes_slowly_is_not_ended_nor_pushed_out_by_a_crowd_that_stopped_half_way() {
+    let limiter = crowded();
     drop(Agent::ready(&limiter));
     // For longer than one that has stopped writing is waited for, the oldest that has not asked for anything, but not the one from which nothing has come for longest.
     let (mut slow, text) = (Agent::connect(&limiter), asking("look", "slow", 1500));
