--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1010,12 +1010,13 @@
     }
 }
 
-fn window(plan: &Plan) -> Micros {
+/// Length of the windows in which a plan's accounts are counted.
+pub fn window(plan: &Plan) -> Micros {
     ((plan.burst / plan.rate.max(1e-3) * 10.0 * SECOND) as Micros).clamp(1_000_000, TTL / 2)
 }
 
 /// FNV-1a over customer and window, the same at every gateway.
-fn count_name(customer: &CustomerId, window: u64) -> u64 {
+pub fn count_name(customer: &CustomerId, window: u64) -> u64 {
     let bytes = customer.0.bytes().chain(window.to_le_bytes());
     bytes.fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3)) >> 1
 }
