--- a/src/policy.rs
+++ b/src/policy.rs
@@ -39,8 +39,8 @@
 const PRICE_BACK: f64 = 0.9;
 /// The most that a call costs, in mean worths: what nothing is worth would take minutes to come down from.
 const PRICE_TOP: f64 = 2.0;
-/// Guess of the share of claims that find room, until it is seen: for a customer that is new, was found empty,
-/// was found with room; by the size of the request, as what is nearly empty has room for one unit alone.
+/// Guess of the share of claims that find room, until it is seen: for a customer that is new, was found
+/// empty, was found with room; by the size of the request, as what is nearly empty has room for one unit.
 const ODDS: [[f64; 3]; 4] = [[0.95, 0.7, 0.97], [0.85, 0.4, 0.9], [0.75, 0.3, 0.85], [0.65, 0.2, 0.8]];
 /// While calls are dear, one refused claim in so many is given back, for all: that costs as much as asking.
 const BACK: f64 = 3.0;
@@ -934,8 +934,8 @@
     }
 
     /// Takes a total that holds a claim: grants what the store had room for, and gives the rest back with the
-    /// next call, `back` times. A store that the count shows more than twice full has been so for long: the count is put
-    /// right, else a later burst would find all that was saved up. Two gateways that do so at once see it.
+    /// next call, `back` times. A store that the count shows more than twice full has been so for long: the
+    /// count is put right, else a later burst would find all that was saved up. Two that do so at once see it.
     fn claim(&mut self, now: Micros, window: u64, call: (f64, f64, f64), total: f64, plan: &Plan) -> f64 {
         let (claim, by, back) = call;
         let passed = (now - window * crate::policy::window(plan)) as f64 / SECOND;
