--- a/src/policy.rs
+++ b/src/policy.rs
@@ -935,7 +935,7 @@
 
     /// Takes a total that holds a claim: grants what the store had room for, and gives the rest back with the
     /// next call, `back` times. A store that the count shows more than twice full has been so for long: the
-    /// count is put right, else a later burst would find all that was saved up. Two that do so at once see it.
+    /// count is put right, else a later burst would find all that was saved up. Two at once see it.
     fn claim(&mut self, now: Micros, window: u64, call: (f64, f64, f64), total: f64, plan: &Plan) -> f64 {
         let (claim, by, back) = call;
         let passed = (now - window * crate::policy::window(plan)) as f64 / SECOND;
