--- a/src/policy.rs
+++ b/src/policy.rs
@@ -39,11 +39,9 @@
 const PRICE_BACK: f64 = 0.9;
 /// The most that a call costs, in mean worths: what nothing is worth would take minutes to come down from.
 const PRICE_TOP: f64 = 2.0;
-/// Guess of the share of claims that find room, until it is seen: for a customer that is new, was found
-/// empty, was found with room; by the size of the request, as what is nearly empty has room for one unit.
-const ODDS: [[f64; 3]; 4] = [[0.95, 0.7, 0.97], [0.85, 0.4, 0.9], [0.75, 0.3, 0.85], [0.65, 0.2, 0.8]];
-/// While calls are dear, one refused claim in so many is given back, for all: that costs as much as asking.
-const BACK: f64 = 3.0;
+/// Guess of the share of claims that find room, until it is seen: for a customer that is new, was
+/// found empty, was found with room. Most stay under their quotas, and who did last time likely does.
+const ODDS: [f64; 3] = [0.7, 0.4, 0.85];
 /// What D grows by in a mean response time while answers meet the aim, in requests a server over all
 /// gateways; a cut takes as much of one request at least.
 const GROWTH: f64 = 0.3;
@@ -118,7 +116,7 @@
     pub(crate) price: f64,
     /// Mean worth of a request, and of each plan the share of asked requests that found room.
     pub(crate) mean_worth: f64,
-    odds: Vec<[[f64; 3]; 4]>,
+    odds: Vec<[f64; 3]>,
     /// And the share of sent requests that was asked for; who asks tells the others' units too.
     asked: Vec<f64>,
     /// Customers that may need a call: what a request waits for first, then what was longest not heard of.
@@ -348,7 +346,7 @@
             None if customer.answered.is_some() && customer.level < request.units => return Verdict::Turn,
             None => {}
         }
-        let odds = self.odds[request.plan][size(request.units)][customer.fared as usize];
+        let odds = self.odds[request.plan][customer.fared as usize];
         let beyond = plan.over_worth - plan.over_cost;
         // Asking pays where it spares a send or finds room; a refused claim costs a second call.
         let value = odds.min((1.0 - odds) * (1.0 - beyond)) * worth / (2.0 - odds);
@@ -737,11 +735,9 @@
         customer.blind = claim > 0.0 && !ok;
         match outcome {
             Outcome::Ok if ok && customer.sparse(plan) => {
-                let back = (1.0 + 2.0 * self.price / self.mean_worth).min(BACK);
-                let back = if back * self.rng.f64() < 1.0 { back } else { 0.0 };
-                let granted = customer.claim(now, window, (claim, by, back), total, plan);
+                let granted = customer.claim(now, window, (claim, by), total, plan);
                 if claim > 0.0 {
-                    let odds = &mut self.odds[customer.plan][size(claim)][customer.fared as usize];
+                    let odds = &mut self.odds[customer.plan][customer.fared as usize];
                     *odds += 2.0 * CLASS_GAIN * (granted / claim - *odds);
                     customer.fared = if granted < claim { Fared::Empty } else { Fared::Room };
                 }
@@ -934,17 +930,16 @@
     }
 
     /// Takes a total that holds a claim: grants what the store had room for, and gives the rest back with the
-    /// next call, `back` times. A store that the count shows more than twice full has been so for long: the
-    /// count is put right, else a later burst would find all that was saved up. Two at once see it.
-    fn claim(&mut self, now: Micros, window: u64, call: (f64, f64, f64), total: f64, plan: &Plan) -> f64 {
-        let (claim, by, back) = call;
+    /// next call. A store that the count shows more than twice full has been so for long: the count is put
+    /// right, else a later burst would find all that was saved up. Two gateways that do so at once see it.
+    fn claim(&mut self, now: Micros, window: u64, (claim, by): (f64, f64), total: f64, plan: &Plan) -> f64 {
         let passed = (now - window * crate::policy::window(plan)) as f64 / SECOND;
         let level = plan.burst + plan.rate * passed - total;
         let granted = (claim + level.min(0.0)).floor().clamp(0.0, claim.max(0.0));
         self.elsewhere += (total - self.seen - by - claim).max(0.0).min(plan.burst);
         self.seen = total;
         self.granted += granted;
-        self.pending -= back * (claim - granted);
+        self.pending -= claim - granted;
         if level > 2.0 * plan.burst {
             self.pending += level - plan.burst;
         } else if claim <= 0.0 && by >= plan.burst && level < 0.0 {
@@ -1020,11 +1015,6 @@
     ((plan.burst / plan.rate.max(1e-3) * 10.0 * SECOND) as Micros).clamp(1_000_000, TTL / 2)
 }
 
-/// Sizes of requests that fare alike: 1, 2, 4 and more units.
-fn size(units: f64) -> usize {
-    (units.max(1.0).log2().ceil() as usize).min(3)
-}
-
 /// FNV-1a over customer and window, the same at every gateway.
 pub fn count_name(customer: &CustomerId, window: u64) -> u64 {
     let bytes = customer.0.bytes().chain(window.to_le_bytes());
