Module: caps on attempts out are counted by all limiters, D held to a quarter of the aim

Each refusal was counted by plan, line and state: most of cooperative's came from cut_backlog and expire with the limiter's own part of the cap full, room under D and nothing out elsewhere (within_quota: open / spread, one place of two or three at the busiest limiter; three limiters of one place each broke a cap of two).

Change: a plan with a cap and no rate has a store of places: one is claimed on the counter, a refused claim goes back at once, a free place goes to who waits at the same limiter, counts begin anew every 5 s with what is held. While the counter is silent, a call has failed or calls are dear, each limiter keeps to its part. STRAIN 1/3 -> 1/4. Refusals have one way in (End::Turned).

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -96,6 +96,13 @@
     pub ceiling_slack: f64,
 }
 
+impl Plan {
+    /// Does it cap attempts out alone, with no quota of units? What an attempt takes is a place then.
+    pub fn places(&self) -> bool {
+        self.rate <= 0.0 && self.open > 0
+    }
+}
+
 /// What the site allows.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Limits {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -30,8 +30,8 @@
 /// Calls of the counter out at once, to begin with; what a late or failed one leaves of them.
 const CALLS: f64 = 8.0;
 const CALLS_CUT: f64 = 0.7;
-/// Mean response as a part of the aim that D is held to: of an exponential tail 1/e³, 5%, is late then.
-const STRAIN: f64 = 1.0 / 3.0;
+/// Mean response as a part of the aim that D is held to: of an exponential tail 1/e⁴, 2%, is late then.
+const STRAIN: f64 = 0.25;
 /// How far a call's price rises on an answer that shows the counter crowded, what is left of it after a good
 /// one and after a second: about one call in ten may meet a crowd.
 const PRICE_STEP: f64 = 1.4;
@@ -56,6 +56,8 @@
 const MARGIN: f64 = 0.5;
 /// What a cold server's store lets go to it costs so much of what it costs at a warm one.
 const COLD: f64 = 0.3;
+/// Window in µs in which places are counted: what a gateway held that died is lost for so long at most.
+const PLACES: f64 = 5e6;
 /// Length in µs of the second in which rates are quoted.
 const SECOND: f64 = 1e6;
 
@@ -128,7 +130,9 @@
 
 impl Gateway {
     /// A gateway that knows nothing yet.
-    pub fn new(cfg: Settings, seed: u64) -> Self {
+    pub fn new(mut cfg: Settings, seed: u64) -> Self {
+        // A plan with a cap on attempts out alone has a store of places.
+        cfg.plans.iter_mut().filter(|p| p.rate <= 0.0).for_each(|p| p.burst = f64::from(p.open));
         let pace =
             |c: &Class| Pace { mean: c.aim.max(8) as f64 / 4.0, tries: 0.0, fail: 0.0, budgets: [0.0; 16] };
         let worth = cfg.classes.iter().map(|c| c.worth).sum::<f64>() / cfg.classes.len().max(1) as f64;
@@ -161,9 +165,7 @@
         match event {
             Event::Members { scope, members } => self.members(now, scope, members, act),
             Event::Request(request) => self.admit(now, request, act),
-            Event::First { id } => {
-                self.held.entry(id).and_modify(|h| h.streaming = true);
-            }
+            Event::First { id } => _ = self.held.entry(id).and_modify(|h| h.streaming = true),
             Event::Outcome(ended) => self.outcome(now, ended, act),
             Event::Gone { id } => self.finish(&id, End::Told, act),
             Event::Timer { .. } => self.tick(now, act),
@@ -222,7 +224,8 @@
         let tag = (start.max(0.0).to_bits(), self.arrivals);
         let id = request.id.clone();
         self.queue.insert((tag, id.clone()));
-        let held = Held { request, worth, aim_at, deadline, tag, attempts: Vec::new(), streaming: false };
+        let charge = if self.cfg.plans[request.plan].rate > 0.0 { request.units } else { 1.0 };
+        let held = Held { request, worth, charge, aim_at, deadline, tag, attempts: vec![], streaming: false };
         customer.waiting.push(id.clone());
         let name = held.request.customer.clone();
         self.held.insert(id, held);
@@ -233,8 +236,7 @@
     /// worth first: a greedy customer's backlog would else be sent oldest first, each request just too late.
     fn cut_backlog(&mut self, now: Micros, name: &CustomerId, act: &mut Vec<Action>) {
         let (usable, pace) = (self.counter_usable(), self.mean_pace().max(1.0));
-        let aim = self.shortest_aim();
-        let hold = (aim - pace).max(0.0) / 2.0;
+        let hold = (self.shortest_aim() - pace).max(0.0) / 2.0;
         let Some(customer) = self.customers.get_mut(name).filter(|c| c.waiting.len() > 1) else { return };
         let plan = &self.cfg.plans[customer.plan];
         customer.fill(now, plan, usable);
@@ -242,10 +244,10 @@
         let reach = customer.level.max(0.0) + filled * hold / f64::from(customer.spread) + 1.0;
         let worth = |id: &&RequestId| self.held.get(*id).map_or(0.0, |h| h.worth);
         let least = customer.waiting.iter().rev().min_by(|a, b| worth(a).total_cmp(&worth(b))).cloned();
-        let units = customer.waiting.iter().filter_map(|id| self.held.get(id)).map(|h| h.request.units);
+        let units = customer.waiting.iter().filter_map(|id| self.held.get(id)).map(|h| h.charge);
         let wait: f64 = if plan.open > 0 { customer.waiting.len() as f64 } else { units.sum() };
         if let Some(id) = least.filter(|_| wait > reach) {
-            self.finish(&id, End::Turned { after: self.come_back() }, act);
+            self.finish(&id, End::Turned, act);
         }
     }
 
@@ -258,16 +260,11 @@
             if !self.has_room(now) {
                 break;
             }
-            let Some(held) = self.held.get(&id) else { continue };
-            let customer = held.request.customer.clone();
-            if blocked.contains(&customer) {
-                continue;
-            }
+            let held = self.held.get(&id).filter(|h| !blocked.contains(&h.request.customer));
+            let Some(customer) = held.map(|h| h.request.customer.clone()) else { continue };
             match self.within_quota(now, &id) {
                 Verdict::Wait => _ = blocked.insert(customer),
-                Verdict::Turn => {
-                    self.finish(&id, End::Turned { after: self.come_back() }, act);
-                }
+                Verdict::Turn => self.finish(&id, End::Turned, act),
                 Verdict::Send => {
                     let Some(server) = self.choose(now, &id) else { continue };
                     self.virtual_time = self.virtual_time.max(f64::from_bits(tag));
@@ -290,24 +287,32 @@
     /// fresh total first and the request waits one call of the counter.
     fn within_quota(&mut self, now: Micros, id: &RequestId) -> Verdict {
         let Some(held) = self.held.get(id) else { return Verdict::Wait };
-        let (request, usable) = (&held.request, self.counter_usable());
+        let (request, usable, pace) = (&held.request, self.counter_usable(), self.mean_pace().max(1.0));
         let plan = &self.cfg.plans[request.plan];
         let calm = now.saturating_sub(self.depth_cut) as f64 >= FADE && (self.out as f64) < self.fleet();
         let Some(customer) = self.customers.get_mut(&request.customer) else { return Verdict::Wait };
-        if plan.over_worth > plan.over_cost && calm {
+        if (plan.over_worth > plan.over_cost && calm) || (plan.rate <= 0.0 && plan.open == 0) {
             return Verdict::Send;
         }
-        if plan.open > 0 && customer.open >= (plan.open / customer.spread).max(1) {
+        // Places are claimed on the counter; while it can't be asked, each gateway keeps to its part of them.
+        let shared = usable && customer.spread > 1 && now >= self.call_after && self.price < self.mean_worth;
+        let places = plan.places() && shared && !std::mem::take(&mut customer.blind);
+        if !places && plan.open > 0 && customer.open >= (plan.open / customer.spread).max(1) {
             return Verdict::Wait;
         }
-        if plan.rate <= 0.0 {
-            return Verdict::Send;
-        }
+        let age = now.saturating_sub(customer.checked) as f64;
         customer.fill(now, plan, usable);
-        if self.cfg.counter && customer.sparse(plan) {
+        // They turn over once a mean response.
+        if places
+            && customer.granted < 1.0
+            && customer.level.max(0.0) + f64::from(plan.open) * age / pace < 1.0
+        {
+            return Verdict::Wait;
+        }
+        if self.cfg.counter && (places || (plan.rate > 0.0 && customer.sparse(plan))) {
             return self.claimed(id, now >= self.call_after);
         }
-        if customer.granted >= request.units {
+        if plan.rate <= 0.0 || customer.granted >= request.units {
             return Verdict::Send;
         }
         let new = customer.answered.is_none();
@@ -317,7 +322,6 @@
         if !usable || customer.spread < 2 || (enough && (new || std::mem::take(&mut customer.blind))) {
             return if enough { Verdict::Send } else { Verdict::Wait };
         }
-        let age = now.saturating_sub(customer.checked) as f64;
         let unseen = EAGER * plan.rate * (1.0 - 1.0 / f64::from(customer.spread)) * age / SECOND;
         if !new && customer.level - unseen >= 2.0 * request.units {
             return Verdict::Send;
@@ -337,14 +341,15 @@
     /// call costs now, the request goes by how its plan's claims have fared.
     fn claimed(&mut self, id: &RequestId, callable: bool) -> Verdict {
         let Some(held) = self.held.get(id) else { return Verdict::Wait };
-        let (request, worth) = (&held.request, held.worth);
+        let (request, worth, charge) = (&held.request, held.worth, held.charge);
         let plan = &self.cfg.plans[request.plan];
         let Some(customer) = self.customers.get_mut(&request.customer) else { return Verdict::Wait };
         match customer.call {
-            _ if customer.granted >= request.units => return Verdict::Send,
-            Some(_) => return Verdict::Wait,
-            None if customer.answered.is_some() && customer.level < request.units => return Verdict::Turn,
+            _ if customer.granted >= charge => return Verdict::Send,
+            None if plan.places() => {}
+            None if customer.answered.is_some() && customer.level < charge => return Verdict::Turn,
             None => {}
+            Some(_) => return Verdict::Wait,
         }
         let odds = self.odds[request.plan][customer.fared as usize];
         let beyond = plan.over_worth - plan.over_cost;
@@ -352,7 +357,7 @@
         let value = odds.min((1.0 - odds) * (1.0 - beyond)) * worth / (2.0 - odds);
         let blind = std::mem::take(&mut customer.blind) || !callable;
         let asked = &mut self.asked[request.plan];
-        if !blind && 2.0 * self.rng.f64() * value > self.price {
+        if plan.places() || (!blind && 2.0 * self.rng.f64() * value > self.price) {
             *asked += 2.0 * CLASS_GAIN * (1.0 - *asked);
             customer.verify = true;
             self.due.insert((false, customer.checked, request.customer.clone()));
@@ -361,7 +366,7 @@
         let pressed = (self.strain / STRAIN).min(1.0).powi(2) * self.mean_worth / 2.0;
         if (odds + (1.0 - odds) * beyond) * worth > pressed {
             *asked -= 2.0 * CLASS_GAIN * *asked;
-            customer.granted += request.units;
+            customer.granted += charge;
             return Verdict::Send;
         }
         Verdict::Turn
@@ -382,17 +387,17 @@
         (target.cold_store, target.cold_filled) = (cold_store, now);
         if let Some(customer) = self.customers.get_mut(&held.request.customer) {
             customer.open += 1;
-            if held.attempts.is_empty() {
+            let (plan, first) = (&self.cfg.plans[held.request.plan], held.attempts.is_empty());
+            // What goes beyond the quota takes nothing from the store, here as at the others.
+            if first && customer.granted >= held.charge {
+                customer.granted -= held.charge;
+            } else if plan.places() || (first && customer.level >= held.charge) {
+                customer.level -= held.charge;
+                customer.pending += held.charge;
+                self.due.insert((true, customer.checked, held.request.customer.clone()));
+            }
+            if first {
                 customer.waiting.retain(|w| w != id);
-                // What goes beyond the quota takes nothing from the store, here as at the others.
-                if customer.granted >= held.request.units {
-                    customer.granted -= held.request.units;
-                } else if customer.level >= held.request.units {
-                    customer.level -= held.request.units;
-                    customer.pending += held.request.units;
-                    self.due.insert((true, customer.checked, held.request.customer.clone()));
-                }
-                let plan = &self.cfg.plans[held.request.plan];
                 customer.ceiling = customer.ceiling_at(now, plan) - held.request.units;
                 customer.ceiling_filled = now;
                 self.retries = (self.retries + RETRY_SHARE).min(RETRY_STORE);
@@ -464,18 +469,17 @@
         if let Some(customer) = self.customers.get_mut(&held.request.customer) {
             customer.waiting.retain(|w| w != id);
         }
-        for (number, attempt) in held.attempts.iter().enumerate() {
-            if attempt.outcome.is_none() && self.cfg.limits.cancel {
+        for (number, attempt) in held.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none()) {
+            if self.cfg.limits.cancel {
                 act.push(Action::Cancel { id: id.clone(), attempt: number });
             }
-            if attempt.outcome.is_none() {
-                // Its outcome comes for a closed request: what it holds is let go of here.
-                self.release(id, number, &attempt.server, &held.request.customer);
-            }
+            // Its outcome comes for a closed request: what it holds is let go of here.
+            self.release(id, number, &attempt.server, &held.request.customer);
         }
         let safe = self.cfg.classes[held.request.class].effect == Effect::Safe;
         let (refused, id) = (safe || !held.may_have_run(), id.clone());
-        if let End::Turned { after } = end {
+        if end == End::Turned {
+            let after = self.come_back();
             act.push(if refused { Action::Refuse { id, after } } else { Action::Fail { id } });
         }
     }
@@ -542,9 +546,7 @@
         }
         if ended.last {
             self.finish(&id, End::Told, act);
-            return;
-        }
-        if self.held.get(&id).is_some_and(|h| !h.is_out()) {
+        } else if self.held.get(&id).is_some_and(|h| !h.is_out()) {
             self.again(now, &id, outcome, act);
         }
     }
@@ -559,15 +561,22 @@
         if server.is_some_and(|s| self.send(now, id, s, act)) {
             self.retries -= price;
         } else {
-            self.finish(id, End::Turned { after: self.come_back() }, act);
+            self.finish(id, End::Turned, act);
         }
     }
 
-    fn release(&mut self, id: &RequestId, number: usize, server: &ServerId, customer: &CustomerId) {
+    fn release(&mut self, id: &RequestId, number: usize, server: &ServerId, name: &CustomerId) {
         let known = self.servers.get_mut(server).and_then(|s| s.out.remove(&(id.clone(), number)));
         self.out = self.out.saturating_sub(usize::from(known.is_some()));
-        if let Some(customer) = self.customers.get_mut(customer) {
+        if let Some(customer) = self.customers.get_mut(name) {
             customer.open = customer.open.saturating_sub(1);
+            if self.cfg.plans[customer.plan].places() {
+                // Its place goes to who waits here, else back.
+                let back = f64::from(u8::from(customer.waiting.is_empty()));
+                (customer.granted, customer.pending) =
+                    (customer.granted + 1.0 - back, customer.pending - back);
+                self.due.insert((true, customer.checked, name.clone()));
+            }
         }
     }
 
@@ -690,20 +699,27 @@
             // Nobody waits any more for what it was to ask.
             let known = customer.answered.is_some() && customer.doubtful <= 0.0;
             customer.verify &= !known || !customer.waiting.is_empty();
-            if plan.rate <= 0.0 || customer.spread < 2 || !customer.must_sync(now, plan) {
+            let window = customer.turn(now, plan);
+            if plan.places() {
+                // One that nobody waits for any more goes back.
+                let spare = (customer.granted - customer.waiting.len() as f64).max(0.0);
+                (customer.granted, customer.pending) = (customer.granted - spare, customer.pending - spare);
+            }
+            if customer.spread < 2 || !customer.must_sync(now, plan) {
                 continue;
             }
             let sparse = customer.sparse(plan);
             // What is only told is worth what it would let in or keep out: one mean request.
-            if sparse && !customer.verify && 2.0 * self.rng.f64() * self.mean_worth <= self.price {
+            let free = !sparse || customer.verify || plan.places();
+            if !free && 2.0 * self.rng.f64() * self.mean_worth <= self.price {
                 continue;
             }
-            let window = customer.turn(now, plan);
             let by = std::mem::take(&mut customer.pending);
-            let waiting = customer.waiting.iter().filter_map(|w| self.held.get(w)).map(|h| h.request.units);
+            let waiting = customer.waiting.iter().filter_map(|w| self.held.get(w)).map(|h| h.charge);
             let asks = std::mem::take(&mut customer.verify) && sparse;
             let wanted = std::mem::take(&mut customer.wanted);
             let claim = if asks { waiting.sum::<f64>() - customer.granted } else { wanted };
+            let claim = if plan.places() { claim.min(1.0) } else { claim };
             let unasked =
                 f64::from(u8::from(asks)) * claim * (1.0 / self.asked[customer.plan] - 1.0).min(2.0);
             customer.call = Some(Call { window, by, claim, at: now });
@@ -759,7 +775,7 @@
             _ => customer.pending += by,
         }
         // Refused claims not given back at once would hold a greedy customer's store down for all.
-        if customer.verify || customer.pending != 0.0 {
+        if customer.verify || customer.pending != 0.0 || plan.places() {
             self.due.insert((!customer.verify, now, id));
         }
     }
@@ -785,10 +801,8 @@
             (server.started, server.weight) = (member.started, member.weight);
             (server.zone, server.cell) = (member.zone, member.cell);
         }
-        let left = self.queue.iter().map(|(_, id)| id.clone()).filter(|_| self.all_out());
-        for id in left.collect::<Vec<_>>() {
-            self.finish(&id, End::Turned { after: self.come_back() }, act);
-        }
+        let left: Vec<_> = self.queue.iter().map(|(_, id)| id.clone()).filter(|_| self.all_out()).collect();
+        left.iter().for_each(|id| self.finish(id, End::Turned, act));
         if self.depth == 0.0 && !self.servers.is_empty() {
             self.depth = self.least_depth().max(1.0);
         }
@@ -830,7 +844,7 @@
         self.customers
             .retain(|_, c| now.saturating_sub(c.last_seen) < TTL || !c.waiting.is_empty() || c.open > 0);
         self.active = self.customers.values().map(|c| self.weight(c.plan)).sum();
-        let untold = self.customers.iter().filter(|(_, c)| c.pending != 0.0);
+        let untold = self.customers.iter().filter(|(_, c)| c.pending != 0.0 || c.granted > 0.0);
         self.due.extend(untold.map(|(id, c)| (true, c.checked, id.clone())));
     }
 
@@ -862,10 +876,8 @@
             let late = held.attempts.is_empty() && now as f64 > start_by.min(half);
             !held.streaming && (late || now + 2 * step >= held.deadline)
         };
-        let waiting = self.held.iter().filter(|(_, held)| over(held)).map(|(id, _)| id.clone());
-        for id in waiting.collect::<Vec<_>>() {
-            self.finish(&id, End::Turned { after: self.come_back() }, act);
-        }
+        let waiting: Vec<_> = self.held.iter().filter(|(_, h)| over(h)).map(|(id, _)| id.clone()).collect();
+        waiting.iter().for_each(|id| self.finish(id, End::Turned, act));
     }
 
     /// While D binds, the queue is kept to what D lets through in a sixth of the aim: what waits longer is
@@ -881,12 +893,10 @@
             self.cfg.plans[h.request.plan].rate <= 0.0 || store >= h.request.units
         };
         let held = self.queue.iter().filter_map(|(tag, id)| Some((self.held.get(id)?, tag, id)));
-        let waiting = held.filter(|(h, ..)| allowed(h)).map(|(h, tag, id)| (h.worth, *tag, id.clone()));
-        let mut waiting: Vec<_> = waiting.collect();
+        let held = held.filter(|(h, ..)| allowed(h));
+        let mut waiting: Vec<_> = held.map(|(h, tag, id)| (h.worth, *tag, id.clone())).collect();
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        for (_, _, id) in waiting.iter().skip(room) {
-            self.finish(id, End::Turned { after: self.come_back() }, act);
-        }
+        waiting.iter().skip(room).for_each(|(.., id)| self.finish(id, End::Turned, act));
     }
 }
 
@@ -902,10 +912,8 @@
     /// part of φ that a gateway would give if traffic came evenly. At φ = 1 the first term stands alone.
     fn delay(&mut self, share: f64, cost: f64, gateways: u32) -> f64 {
         let first = std::mem::take(&mut self.elsewhere);
-        if share >= 1.0 {
-            return first;
-        }
-        first.min((f64::from(gateways.max(1)) - 1.0) / (1.0 - share) * cost)
+        let second = (f64::from(gateways.max(1)) - 1.0) / (1.0 - share) * cost;
+        first.min(if share < 1.0 { second } else { first })
     }
 
     /// Fills the copy of the store; without the counter only with a fair part, as others fill theirs.
@@ -924,9 +932,9 @@
         (self.ceiling + plan.ceiling_rate * part * span).min(plan.ceiling_burst * part)
     }
 
-    /// A part of the store at each gateway is under one unit.
+    /// A part of the store at each gateway is under one unit; places are always claimed.
     fn sparse(&self, plan: &Plan) -> bool {
-        plan.rate > 0.0 && plan.burst < f64::from(self.spread)
+        plan.rate <= 0.0 || plan.burst < f64::from(self.spread)
     }
 
     /// Takes a total that holds a claim: grants what the store had room for, and gives the rest back with the
@@ -942,7 +950,7 @@
         self.pending -= claim - granted;
         if level > 2.0 * plan.burst {
             self.pending += level - plan.burst;
-        } else if claim <= 0.0 && by >= plan.burst && level < 0.0 {
+        } else if claim <= 0.0 && by >= plan.burst && level < 0.0 && plan.rate > 0.0 {
             self.pending -= by;
         }
         self.level = (level + claim - granted).min(plan.burst);
@@ -976,6 +984,10 @@
         if current != self.window {
             // Window edge: the copy of the store carries over.
             (self.window, self.told, self.seen) = (current, 0.0, 0.0);
+            if plan.rate <= 0.0 {
+                // What was told of places counts no more, nor what a gateway held that died.
+                self.pending = self.granted + f64::from(self.open);
+            }
         }
         current
     }
@@ -1012,7 +1024,8 @@
 
 /// Length of the windows in which a plan's accounts are counted.
 pub fn window(plan: &Plan) -> Micros {
-    ((plan.burst / plan.rate.max(1e-3) * 10.0 * SECOND) as Micros).clamp(1_000_000, TTL / 2)
+    let length = if plan.rate > 0.0 { plan.burst / plan.rate * 10.0 * SECOND } else { PLACES };
+    (length as Micros).clamp(1_000_000, TTL / 2)
 }
 
 /// FNV-1a over customer and window, the same at every gateway.
--- a/src/state.rs
+++ b/src/state.rs
@@ -16,6 +16,8 @@
 pub(crate) struct Held {
     pub(crate) request: Request,
     pub(crate) worth: f64,
+    /// What it takes of the quota: its units, or a place where a plan caps attempts out alone.
+    pub(crate) charge: f64,
     pub(crate) aim_at: Micros,
     pub(crate) deadline: Micros,
     /// Start tag and arrival number: its place in the fair queue.
@@ -131,7 +133,7 @@
 #[derive(Clone, Copy, PartialEq)]
 pub(crate) enum End {
     /// Refused if nothing may have run, else failed.
-    Turned { after: Micros },
+    Turned,
     /// Closed elsewhere: the host has told the client.
     Told,
 }
