--- a/tests/jam.rs
+++ b/tests/jam.rs
@@ -22,6 +22,19 @@
 struct Node {
     running: Vec<(usize, usize)>,
     waiting: VecDeque<(usize, usize)>,
+    /// Against the others, and when it started, 0 for long ago.
+    speed: f64,
+    started: Micros,
+    /// When what was sent to it came.
+    sent: Vec<Micros>,
+}
+
+impl Node {
+    /// What it can do now against a warm one of speed 1: it starts at a sixth and is warm after 18 s.
+    fn capacity(&self, now: Micros) -> f64 {
+        let age = now.saturating_sub(self.started) as f64 / 18e6;
+        self.speed * if self.started == 0 { 1.0 } else { (0.16 + 0.84 * age).min(1.0) }
+    }
 }
 
 struct Try {
@@ -39,6 +52,8 @@
     Done { node: usize, of: (usize, usize) },
     Ends { of: (usize, usize) },
     Gives(usize),
+    Restart(usize),
+    Cold(usize),
 }
 
 struct World {
@@ -47,10 +62,13 @@
     rng: StdRng,
     events: BinaryHeap<Reverse<(Micros, u64)>>,
     what: BTreeMap<u64, Happens>,
+    settings: Settings,
     gateways: Vec<Gateway>,
     nodes: Vec<Node>,
     tries: Vec<Try>,
     slow: f64,
+    /// What the first gateway is asked, against each of the others.
+    share: usize,
     /// First tries asked and served in time, by the second in which they were asked.
     asked: Vec<f64>,
     served: Vec<f64>,
@@ -64,6 +82,13 @@
             counter: false,
             classes: vec![class(Effect::Safe), class(Effect::Unsafe)],
             plans: vec![Plan { rate: 1e6, burst: 1e6, price: 1.0, ..Plan::default() }],
+            safety: Safety {
+                cold_share: 0.16,
+                warm_within: 18_000 * MS,
+                fall_multiple: 2.5,
+                fall: 3_000 * MS,
+                drain_grace: 250 * MS,
+            },
             limits: Limits {
                 max_attempts: 4,
                 cancel: true,
@@ -72,27 +97,39 @@
             },
             ..settings()
         };
-        let gateway = |me| Gateway::new(Settings { me, ..settings.clone() }, u64::from(me) * 7919 + seed);
         let mut world = Self {
             now: 100_000 * MS,
             order: 0,
             rng: StdRng::seed_from_u64(seed),
             events: BinaryHeap::new(),
             what: BTreeMap::new(),
-            gateways: (0..gateways).map(gateway).collect(),
-            nodes: (0..nodes).map(|_| Node::default()).collect(),
+            gateways: (0..gateways).map(|_| Gateway::new(Settings::default(), 0)).collect(),
+            nodes: (0..nodes).map(|_| Node { speed: 1.0, ..Node::default() }).collect(),
             tries: Vec::new(),
+            settings,
             slow: 1.0,
+            share: 1,
             asked: vec![0.0; 64],
             served: vec![0.0; 64],
         };
-        let members: Vec<_> = (0..nodes).map(|n| member(&n.to_string(), "z0")).collect();
-        for me in 0..gateways as usize {
-            world.give(me, Event::Members { scope: Scope::Full, members: members.clone() });
-        }
+        (0..gateways as usize).for_each(|me| world.start(me));
         world
     }
 
+    fn members(&self, nodes: std::ops::Range<usize>) -> Vec<Member> {
+        nodes.map(|n| Member { started: self.nodes[n].started, ..member(&n.to_string(), "z0") }).collect()
+    }
+
+    /// A gateway that knows nothing but the list.
+    fn start(&mut self, me: usize) {
+        let settings = Settings { me: me as u32, ..self.settings.clone() };
+        let seed = self.rng.random();
+        self.gateways[me] = Gateway::new(settings, seed);
+        self.tries.iter_mut().filter(|t| t.gateway == me).for_each(|t| t.attempts.fill(None));
+        let members = self.members(0..self.nodes.len());
+        self.give(me, Event::Members { scope: Scope::Full, members });
+    }
+
     fn at(&mut self, after: Micros, happens: Happens) {
         self.order += 1;
         self.events.push(Reverse((self.now + after, self.order)));
@@ -127,6 +164,15 @@
                 Some(Happens::Done { node, of }) => self.done(node, of),
                 Some(Happens::Ends { of }) => self.over(of, Outcome::Timeout),
                 Some(Happens::Gives(number)) => self.gives_up(number),
+                Some(Happens::Restart(me)) => self.start(me),
+                Some(Happens::Cold(node)) => {
+                    self.nodes[node].started = now;
+                    let members = self.members(node..node + 1);
+                    for me in 0..self.gateways.len() {
+                        let members = members.clone();
+                        self.give(me, Event::Members { scope: Scope::Changes, members });
+                    }
+                }
                 None => {}
             }
         }
@@ -134,7 +180,8 @@
     }
 
     fn ask(&mut self, asked: Micros, left: u32) {
-        let gateway = self.rng.random_range(0..self.gateways.len());
+        let drawn = self.rng.random_range(0..self.gateways.len() + self.share - 1);
+        let gateway = if drawn < self.gateways.len() { drawn } else { 0 };
         let number = self.tries.len();
         self.tries.push(Try { gateway, asked, left, done: false, attempts: Vec::new() });
         let class = usize::from(self.rng.random_bool(0.4));
@@ -158,6 +205,7 @@
                     let of: (usize, usize) = (number, self.tries[number].attempts.len());
                     self.tries[number].attempts.push(Some((node, self.now)));
                     self.at(timeout, Happens::Ends { of });
+                    self.nodes[node].sent.push(self.now);
                     if self.nodes[node].waiting.len() >= 40 {
                         self.over(of, Outcome::Full);
                     } else {
@@ -185,7 +233,8 @@
             let Some(of) = self.nodes[node].waiting.pop_front() else { return };
             let held = self.nodes[node].waiting.len() as f64 / CORES as f64;
             let drawn: f64 = Exp1.sample(&mut self.rng);
-            let took = WORK * self.slow * (1.0 + 0.15 * (held - 3.0).max(0.0)) * drawn;
+            let pace = self.slow / self.nodes[node].capacity(self.now);
+            let took = WORK * pace * (1.0 + 0.15 * (held - 3.0).max(0.0)) * drawn;
             self.nodes[node].running.push(of);
             self.at(took as Micros + MS, Happens::Done { node, of });
         }
@@ -250,3 +299,43 @@
         assert!(mean > 0.6, "{gateways} gateways: {served:.2?}");
     }
 }
+
+#[test]
+fn two_of_three_limiters_that_restart_under_full_load_cost_their_own_requests_alone() {
+    let mut world = World::new(3, 11, 5);
+    world.at(6_000 * MS, Happens::Restart(0));
+    world.at(16_000 * MS, Happens::Restart(1));
+    let served = world.play(24, 1.0, (1.0, 0..0));
+    let mean = |part: &[f64]| part.iter().sum::<f64>() / part.len() as f64;
+    let (before, first, second) = (mean(&served[2..6]), mean(&served[7..15]), mean(&served[17..24]));
+    assert!(first > before - 0.2 && second > before - 0.2 && before > 0.8, "{served:.2?}");
+}
+
+#[test]
+fn a_limiter_with_three_times_the_others_share_serves_as_much_of_it() {
+    let mut world = World::new(3, 11, 6);
+    world.share = 3;
+    let served = world.play(20, 0.7, (1.0, 0..0));
+    assert!(served[2..].iter().sum::<f64>() / 18.0 > 0.97, "{served:.2?}");
+}
+
+#[test]
+fn a_cold_slow_node_beside_warm_fast_ones_is_neither_pushed_over_nor_left_out() {
+    for gateways in [3, 48] {
+        let mut world = World::new(gateways, 12, 7);
+        world.nodes[0].speed = 0.55;
+        world.at(5_000 * MS, Happens::Cold(0));
+        let served = world.play(24, 0.6, (1.0, 0..0));
+        assert!(served[2..].iter().sum::<f64>() / 22.0 > 0.95, "{gateways} gateways: {served:.2?}");
+        let node = &world.nodes[0];
+        // What came in any three seconds against what the node can do in them, in requests.
+        let most = (50..230).map(|tenth| {
+            let from = (100_000 + tenth * 100) * MS;
+            let came = node.sent.iter().filter(|t| (from..from + 3_000 * MS).contains(t)).count() as f64;
+            came * WORK / (node.capacity(from) * CORES as f64 * 3e6)
+        });
+        let most = most.fold(0.0, f64::max);
+        let late = node.sent.iter().filter(|t| **t > 118_000 * MS).count();
+        assert!(most < 2.5 && late > 10, "{gateways} gateways: {most:.2} of it, {late} sent once warm");
+    }
+}
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -737,3 +737,44 @@
     assert_eq!((sends(&doubtful).len(), amounts(&doubtful)), (0, vec![0.0]));
     assert_eq!(sends(&bench.count(&doubtful, 21.5, Outcome::Ok)).len(), 1);
 }
+
+#[test]
+fn a_deadline_behind_a_silent_counter_is_answered_within_half_of_its_time() {
+    for (plan, budget) in [(0, 60_000), (0, 600_000), (1, 60_000), (1, 600_000)] {
+        let mut bench = Bench::new(settings(), 4);
+        let (id, customer) = ("r".into(), "a".into());
+        let request = Request { id, class: 2, plan, customer, budget, units: 11.0, spread: 2, first: 0 };
+        let acts = bench.on(Event::Request(request));
+        assert_eq!((counts(&acts), sends(&acts).len()), (1, 0), "plan {plan} asks first");
+        let acts = bench.pass(budget / 2);
+        assert_eq!((refused(&acts), failed(&acts)), (1, 0), "plan {plan}, {budget} us");
+        // What comes of the call later is nobody's any more.
+        assert!(sends(&bench.pass(budget)).is_empty());
+    }
+}
+
+proptest::proptest! {
+    /// Reports that stop, lie or come late change no decision.
+    #[test]
+    fn load_reports_move_nothing(loads in proptest::collection::vec(
+        proptest::collection::vec(proptest::num::f64::ANY, 0..4), 60)) {
+        let settings = Settings { load_fields: vec![LoadField::Other, LoadField::InFlight], ..settings() };
+        let play = |reports: &dyn Fn(usize) -> Vec<f64>| -> Vec<Action> {
+            let (mut bench, mut all) = (Bench::new(settings.clone(), 5), Vec::new());
+            for n in 0..60 {
+                let acts = bench.ask(&format!("r{n}"), n % 3, 0, &format!("c{}", n % 7));
+                let more = bench.count(&acts, 3.0, Outcome::Ok);
+                for (id, server) in sends(&[acts.clone(), more.clone()].concat()) {
+                    let outcome = if n % 9 == 8 { Outcome::Error } else { Outcome::Ok };
+                    let (last, load) = (outcome == Outcome::Ok, reports(n));
+                    let took = 20_000 + 1_000 * n as Micros;
+                    let ended = Ended { id, attempt: 0, server, outcome, took, last, load, settled: None };
+                    all.extend(bench.on(Event::Outcome(ended)));
+                }
+                all.extend(acts.into_iter().chain(more).chain(bench.pass(5_000)));
+            }
+            all
+        };
+        proptest::prop_assert_eq!(play(&|n| loads[n].clone()), play(&|_| Vec::new()));
+    }
+}
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -272,3 +272,45 @@
         assert!(bounds.contains(&sent), "{gateways} gateways, {servers} servers: {sent} sent");
     }
 }
+
+/// What three gateways send of one customer that asks twice its quota of 10 a second, at the first for 10 s and at the
+/// second from then on, as `answers` says for a second whether the counter does; it is back empty at 21 s. By second,
+/// and how much of it in all was beyond what one store held.
+fn moved_at_one_stroke(answers: impl Fn(u64) -> bool) -> (Vec<usize>, usize) {
+    let (now, mut by_second, mut beyond) = (1000 * SECOND, vec![0; 36], 0);
+    let mut fleet = Fleet::new(3, &settings(), &[member("s0", "z0"), member("s1", "z0")], now);
+    let mut store = 20.0_f64;
+    for step in 0..36 * 20 {
+        let (time, second) = (now + step * SECOND / 20, step / 20);
+        fleet.answers = answers(second);
+        if step == 21 * 20 {
+            fleet.names.clear();
+        }
+        let mut sent = 0;
+        for gateway in 0..3 {
+            sent += fleet.on(gateway, time, Event::Timer { token: 0 }).len();
+        }
+        let at = usize::from(second >= 10);
+        sent += fleet.on(at, time, Event::Request(request(format!("r{step}"), 3))).len();
+        store = (store + 0.5).min(20.0);
+        for _ in 0..sent {
+            beyond += usize::from(store < 1.0);
+            store -= f64::from(u8::from(store >= 1.0));
+        }
+        by_second[second as usize] += sent;
+    }
+    (by_second, beyond)
+}
+
+#[test]
+fn a_customer_that_moves_while_the_counter_is_gone_has_one_quota_and_its_part_meanwhile() {
+    let (kept, usual) = moved_at_one_stroke(|_| true);
+    assert!(usual <= 8, "{usual} beyond with the counter: {kept:?}");
+    let (sent, beyond) = moved_at_one_stroke(|second| !(10..21).contains(&second));
+    let (silent, after): (usize, usize) = (sent[12..21].iter().sum(), sent[24..36].iter().sum());
+    // A third of the quota at the gateway that it has moved to, and the whole of it once the counter is back.
+    assert!((24..=36).contains(&silent), "{silent} sent in 9 s without the counter: {sent:?}");
+    assert!((108..=132).contains(&after), "{after} sent in 12 s with it: {sent:?}");
+    // A counter that is empty tells nobody of what was sent on: one store at the most.
+    assert!(beyond <= 20, "{beyond} beyond: {sent:?}");
+}
