--- a/src/policy.rs
+++ b/src/policy.rs
@@ -705,7 +705,7 @@
                 let spare = (customer.granted - customer.waiting.len() as f64).max(0.0);
                 (customer.granted, customer.pending) = (customer.granted - spare, customer.pending - spare);
             }
-            if customer.spread < 2 || !customer.must_sync(now, plan) {
+            if plan.burst <= 0.0 || customer.spread < 2 || !customer.must_sync(now, plan) {
                 continue;
             }
             let sparse = customer.sparse(plan);
@@ -880,7 +880,7 @@
         waiting.iter().for_each(|id| self.finish(id, End::Turned, act));
     }
 
-    /// While D binds, the queue is kept to what D lets through in a sixth of the aim: what waits longer is
+    /// While D binds, the queue is kept to what D lets through in an eighth of the aim: what waits longer is
     /// answered too late even if sent, so it is waste. The least worth goes first; tags order what stays.
     fn shed(&mut self, now: Micros, act: &mut Vec<Action>) {
         if self.has_room(now) {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -195,20 +195,33 @@
     assert!(pair.ask(0, "a7").is_empty(), "and no more than these");
 }
 
+#[test]
+fn a_plan_without_any_quota_never_calls_the_counter() {
+    let mut settings = settings();
+    settings.plans[1].open = 0;
+    let mut bench = Bench::new(settings, 4);
+    let mut acts = bench.ask("r0", 0, 1, "a");
+    let (id, server) = sends(&acts).remove(0);
+    acts.extend(bench.ask("r1", 0, 1, "a"));
+    // Its units are settled afterwards, and there is no store to put them right in.
+    let (outcome, load, settled) = (Outcome::Ok, Vec::new(), Some(4.0));
+    let ended = Ended { id, attempt: 0, server, outcome, took: 20_000, last: true, load, settled };
+    acts.extend(bench.on(Event::Outcome(ended)));
+    acts.extend(bench.pass(3_000_000));
+    assert_eq!(counts(&acts), 0);
+}
+
 #[test]
 fn a_counter_that_goes_silent_leaves_each_gateway_its_part_of_a_cap() {
     let mut bench = Bench::new(settings(), 6);
     let mut out = 0;
     for n in 0..12 {
-        let acts = bench.ask(&format!("r{n}"), 0, 1, "a");
-        out += sends(&acts).len();
-        let mut acts = bench.count(&acts, 0.0, Outcome::Timeout);
+        let mut acts = bench.ask(&format!("r{n}"), 0, 1, "a");
         while counts(&acts) > 0 {
             out += sends(&acts).len();
             acts = bench.count(&acts, 0.0, Outcome::Timeout);
         }
-        out += sends(&acts).len();
-        out += sends(&bench.pass(5_000)).len();
+        out += sends(&acts).len() + sends(&bench.pass(5_000)).len();
     }
     assert_eq!(out, 2, "a half of four places");
 }
