--- a/tests/jam.rs
+++ b/tests/jam.rs
@@ -16,6 +16,8 @@
 const AIM: Micros = 900 * MS;
 const DEADLINE: Micros = 2_500 * MS;
 const CORES: usize = 2;
+/// When every world begins.
+const START: Micros = 100_000 * MS;
 
 /// A node: two cores, a waiting room, and slower the more it holds beyond what its cores can do.
 #[derive(Default)]
@@ -98,7 +100,7 @@
             ..settings()
         };
         let mut world = Self {
-            now: 100_000 * MS,
+            now: START,
             order: 0,
             rng: StdRng::seed_from_u64(seed),
             events: BinaryHeap::new(),
@@ -137,7 +139,7 @@
     }
 
     fn second(&self, at: Micros) -> usize {
-        ((at - 100_000 * MS) / (1_000 * MS)) as usize
+        ((at - START) / (1_000 * MS)) as usize
     }
 
     /// Plays `seconds` under `load` of what the nodes can do; all of them are `slow` times slower for a while.
@@ -280,12 +282,15 @@
     }
 }
 
+fn mean(part: &[f64]) -> f64 {
+    part.iter().sum::<f64>() / part.len() as f64
+}
+
 #[test]
 fn a_jam_ends_by_itself_within_seconds_of_its_cause() {
     // Every node is four times slower for five seconds: far more is asked than they can do then.
     for (gateways, nodes) in [(3, 9), (48, 12), (300, 60)] {
         let served = World::new(gateways, nodes, 3).play(18, 0.9, (4.0, 6..11));
-        let mean = |part: &[f64]| part.iter().sum::<f64>() / part.len() as f64;
         let (before, slow, after) = (mean(&served[2..6]), mean(&served[8..11]), mean(&served[14..18]));
         assert!(before > 0.8 && slow < 0.3 && after > 0.75, "{gateways} gateways: {served:.2?}");
     }
@@ -295,8 +300,7 @@
 fn more_than_the_nodes_can_do_is_refused_and_most_of_what_they_can_is_served() {
     for (gateways, nodes) in [(3, 9), (48, 12), (300, 60)] {
         let served = World::new(gateways, nodes, 4).play(20, 1.1, (1.0, 0..0));
-        let mean = served[4..].iter().sum::<f64>() / (served.len() - 4) as f64;
-        assert!(mean > 0.6, "{gateways} gateways: {served:.2?}");
+        assert!(mean(&served[4..]) > 0.6, "{gateways} gateways: {served:.2?}");
     }
 }
 
@@ -306,7 +310,6 @@
     world.at(6_000 * MS, Happens::Restart(0));
     world.at(16_000 * MS, Happens::Restart(1));
     let served = world.play(24, 1.0, (1.0, 0..0));
-    let mean = |part: &[f64]| part.iter().sum::<f64>() / part.len() as f64;
     let (before, first, second) = (mean(&served[2..6]), mean(&served[7..15]), mean(&served[17..24]));
     assert!(first > before - 0.2 && second > before - 0.2 && before > 0.8, "{served:.2?}");
 }
@@ -316,7 +319,7 @@
     let mut world = World::new(3, 11, 6);
     world.share = 3;
     let served = world.play(20, 0.7, (1.0, 0..0));
-    assert!(served[2..].iter().sum::<f64>() / 18.0 > 0.97, "{served:.2?}");
+    assert!(mean(&served[2..]) > 0.97, "{served:.2?}");
 }
 
 #[test]
@@ -326,16 +329,16 @@
         world.nodes[0].speed = 0.55;
         world.at(5_000 * MS, Happens::Cold(0));
         let served = world.play(24, 0.6, (1.0, 0..0));
-        assert!(served[2..].iter().sum::<f64>() / 22.0 > 0.95, "{gateways} gateways: {served:.2?}");
+        assert!(mean(&served[2..]) > 0.95, "{gateways} gateways: {served:.2?}");
         let node = &world.nodes[0];
         // What came in any three seconds against what the node can do in them, in requests.
         let most = (50..230).map(|tenth| {
-            let from = (100_000 + tenth * 100) * MS;
+            let from = START + tenth * 100 * MS;
             let came = node.sent.iter().filter(|t| (from..from + 3_000 * MS).contains(t)).count() as f64;
             came * WORK / (node.capacity(from) * CORES as f64 * 3e6)
         });
         let most = most.fold(0.0, f64::max);
-        let late = node.sent.iter().filter(|t| **t > 118_000 * MS).count();
+        let late = node.sent.iter().filter(|t| **t > START + 18_000 * MS).count();
         assert!(most < 2.5 && late > 10, "{gateways} gateways: {most:.2} of it, {late} sent once warm");
     }
 }
