Upgrade: ends of attempts that overtake what was given wait for it

The incumbent's core gives and tells of ends at once, but the two reach the link through different threads, so the end of an attempt can be the first on the way. take_over (src/handover/mod.rs) handed it to the core at once, to an account that it did not know yet, where it was dropped; the attempt then counted against the account's cap on attempts out until the old process ended.

Changed: such ends are kept until what was given has been taken.

--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -168,6 +168,8 @@
         let link = joined.link;
         *lock(&self.other) = Some(link.clone());
         let (mut stage, mut known, mut given) = (Newcomer::Joining, false, None);
+        // Ends of attempts may overtake what tells of them: heard at once, they would count as out for good.
+        let mut early = Vec::new();
         stage.on(Event::Heard(Word::Welcome));
         let (mut since, mut place) = (Instant::now(), None);
         while stage != Newcomer::Alone {
@@ -176,6 +178,10 @@
                     given = Some(all);
                     Event::Heard(Word::Given)
                 }
+                Ok((Body::Ended(account), _)) if stage != Newcomer::Sharing => {
+                    early.push(Body::Ended(account));
+                    continue;
+                }
                 Ok((body, descriptor)) => match news(body, descriptor, limiter) {
                     Some(word) => Event::Heard(word),
                     None => continue,
@@ -204,6 +210,7 @@
                     }
                     Do::Serve => {
                         given.take().into_iter().for_each(|given| limiter.take(given));
+                        early.drain(..).for_each(|ended| limiter.hear(ended));
                         // Before anybody hears that this one serves: the next upgrade finds it here.
                         place = self.place();
                         limiter.accept(true);
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -3,13 +3,14 @@
 mod peers;
 
 use mossrill::handover::link::Link;
-use mossrill::handover::message::Body;
+use mossrill::handover::message::{Account, Body, Given};
 use peers::*;
 use serde_json::Value;
 use std::collections::HashMap;
 use std::io::Write;
-use std::net::SocketAddr;
-use std::os::unix::net::UnixStream;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::AsFd;
+use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -230,6 +231,38 @@
     assert_eq!(agent.answer(), "after-all");
 }
 
+#[test]
+fn an_attempt_whose_end_overtakes_what_was_given_holds_no_place() {
+    let (node, _seen) = resp_peer(|_, words| serve(&words[2]));
+    let folder = Folder::new("overtaken");
+    let mut told = settings(quiet_list(), quota_counter().0, &[("s-1", node)]);
+    told["control"] = "127.0.0.1:0".into();
+    told["settings"]["tariffs"][0]["parallel"] = 1.into();
+    let place = UnixListener::bind(folder.socket()).expect("a socket");
+    let old = thread::spawn(move || {
+        let wait = Some(Duration::from_secs(20));
+        let link = Link::new(place.accept().expect("a newcomer").0).expect("a link");
+        assert!(matches!(link.hear(wait), Ok((Body::Join(_), None))));
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        link.say(Body::Welcome(true), Some(listener.as_fd())).expect("said");
+        assert!(matches!(link.hear(wait), Ok((Body::Take(_), None))));
+        // The core has given, another thread tells of the end, and it is the first to reach the way.
+        let account = "00000000b4d65521".to_owned();
+        link.say(Body::Ended(account.clone()), None).expect("said");
+        let account = Account { id: account, spread: 1, level: 100.0, open: 1, ..Account::default() };
+        link.say(Body::Given(Given { accounts: vec![account], ..Given::default() }), None).expect("said");
+        assert!(matches!(link.hear(wait), Ok((Body::Serving(_), None))));
+        link
+    });
+    let new = start(&folder.0, "overtaken", &told);
+    new.call_until("ready", "YES");
+    // While the old one lives: with its end, all that it had out has ended.
+    let _old = old.join().expect("a hand-over");
+    let mut agent = Agent::ready_at(new.at);
+    agent.ask("look", "has-a-place", 1500);
+    assert_eq!(agent.answer(), "has-a-place");
+}
+
 #[test]
 fn without_a_folder_a_socket_or_a_peer_that_answers_a_limiter_serves_all_the_same() {
     let (node, _seen) = resp_peer(|_, words| serve(&words[2]));
