--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -308,3 +308,25 @@
     let fault = mossrill::config::platform(&told.to_string(), |_| None).err().expect("a fault");
     assert!(fault.contains("\"fleet\""), "{fault}");
 }
+
+/// A measurement, not a test: `cargo test --release --test fleet -- --ignored --nocapture used`.
+#[test]
+#[ignore = "a measurement"]
+fn processor_time_a_request_and_memory_with_and_without_a_fleet() {
+    for round in 0..4 {
+        for (name, fleet) in [("used-on", true), ("used-off", false)] {
+            let rig = Rig::up_alone(Plan { fleet, ..Plan::new(name, 3) });
+            pause(3_000);
+            let before: u64 = (0..3).map(|who| rig.limiters[who].as_ref().expect("running").used().0).sum();
+            let load = rig.load(20);
+            pause(15_000);
+            let asked = load.end();
+            let used = (0..3).map(|who| rig.limiters[who].as_ref().expect("running").used());
+            let (ticks, memory) = used.fold((0, 0), |all, one| (all.0 + one.0, all.1 + one.1 / 3));
+            let each = (ticks - before) as f64 * 1e4 / asked as f64;
+            println!(
+                "round {round} {name}: {asked} requests, {each:.1} us of processor time each, {memory} kB"
+            );
+        }
+    }
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -287,6 +287,19 @@
         assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
     }
 
+    /// Processor time that it has used, in hundredths of a second, and its memory in kB.
+    pub fn used(&self) -> (u64, u64) {
+        let read = |file: &str| {
+            std::fs::read_to_string(format!("/proc/{}/{file}", self.child.id())).expect("a process")
+        };
+        let (stat, status) = (read("stat"), read("status"));
+        let fields: Vec<_> = stat.rsplit(") ").next().unwrap_or_default().split(' ').collect();
+        let ticks = |at: usize| fields[at].parse::<u64>().expect("a number");
+        let memory = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let memory = memory.and_then(|text| text.trim().split(' ').next()?.parse().ok());
+        (ticks(11) + ticks(12), memory.expect("a number"))
+    }
+
     /// How many threads it has.
     pub fn threads(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("a process").count()
--- a/tests/view.rs
+++ b/tests/view.rs
@@ -110,7 +110,12 @@
 
 #[test]
 fn half_of_thirty_restart_within_a_second_and_all_find_each_other() {
-    let mut net = all_up(30, 13);
+    // Clocks that are ten seconds apart.
+    let mut net = Net::new(30, 13);
+    net.clock = (0..30).map(|who| [-10_000, 0, 10_000][who % 3]).collect();
+    net.start_all();
+    assert!(net.until(20 * SECOND, Net::settled).is_some());
+    net.clock.reverse();
     for who in 0..15 {
         net.start(2 * who);
         net.run(SECOND / 15);
