--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -626,7 +626,7 @@
         let later = known.session == 0 || datagram.incarnation > known.incarnation;
         if !proven || (other && !later) {
             // Nothing that it says is taken: it may be an hour old. Only a living sender can answer what it is told.
-            if !matches!(word, Word::Ping(_) | Word::Ack(_)) || (!proven && word == Word::Ack(true)) {
+            if !matches!(word, Word::Ping(_) | Word::Ack(_)) || (!proven && matches!(word, Word::Ack(_))) {
                 return Err(Fault::Stale);
             }
             if !self.strangers.take(now) {
@@ -658,9 +658,9 @@
         }
         self.vouch(now, from, datagram.heard, todo);
         let state = if matches!(word, Word::Leave(_)) { State::Left } else { State::Alive };
-        let said = (datagram.address(), datagram.version);
+        let said = datagram.address().map(|at| (at, datagram.version));
         let doubted = self.members[from].state >= State::Suspect || self.members[from].forgotten;
-        self.learn(now, from, state, datagram.incarnation, said.0.map(|at| (at, said.1)), from as u32, todo);
+        self.learn(now, from, state, datagram.incarnation, said, from as u32, todo);
         let (mut strange, incarnation) = (false, self.incarnation());
         for news in &datagram.news {
             match news.read(self.setup.size) {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -143,7 +143,7 @@
     let load = rig.load(8);
     rig.cold_and_drained();
     rig.script(|script| (script.loss, script.twice, script.late) = (0.3, 0.2, 60));
-    pause(12_000);
+    pause(60_000);
     rig.settle();
     rig.script(|script| (script.loss, script.twice, script.late) = (0.0, 0.0, 5));
     rig.settle();
