--- a/src/policy.rs
+++ b/src/policy.rs
@@ -43,8 +43,9 @@
 /// Guess of the share of claims that find room, until it is seen: for a customer that is new, was
 /// found empty, was found with room. Most stay under their quotas, and who did last time likely does.
 const ODDS: [f64; 3] = [0.7, 0.4, 0.85];
-/// What D grows by on an answer that took no time, in requests a server over all gateways.
-const GROWTH: f64 = 0.6;
+/// What D grows by in a mean response time while answers meet the aim, in requests a server over all
+/// gateways; a cut takes as much of one request at least.
+const GROWTH: f64 = 0.3;
 /// Time in µs over which the mean response that D follows is forgotten where answers are few: 50 answers, as
 /// by `CLASS_GAIN`, are half a minute to a gateway of a large fleet, and a jam is there within one second.
 const MEMORY: f64 = 1e6;
@@ -628,9 +629,7 @@
             // Slow start: until its first cut each answer adds the same, so that D grows in proportion.
             let least = self.least_depth(now);
             let by = if self.depth_cut == 0 { self.depth.min(least.max(1.0)) } else { self.depth };
-            // A slow answer grows nothing, and is known for that before a mean of few answers is.
-            let slack = (1.0 - took / (aim as f64 * STRAIN)).max(0.0);
-            self.depth += GROWTH * least / by * slack;
+            self.depth += GROWTH * least / by;
         }
     }
 
@@ -649,7 +648,7 @@
         // The one just answered was out too: where one is out now and then, D would fall to its least. A cut
         // of a small part of a small D would not be felt.
         let depth = self.depth.min(self.out as f64 + 1.0);
-        self.depth = (depth * factor).min(depth - GROWTH / 2.0 * depth.min(1.0)).max(self.least_depth(now));
+        self.depth = (depth * factor).min(depth - GROWTH * depth.min(1.0)).max(self.least_depth(now));
         // Only what is measured after a cut may cut again, else D falls to its floor.
         self.strain = self.strain.min(STRAIN);
     }
