Node list: news on many lines is taken, and asked for in time where drains are short

Ruled out by reading: the watch's 4.5 s of silence and the reconnect after it (5.2 s, of 6). At fault: LONGEST_FIRST, 700 ms, a figure for sites that let drained nodes be sent to for a second. A new process asks up to that late, and what the agent holds counts as told from its first moment. It is 0.7 of the settings' drain_grace now.

Read beside it: a watch was taken apart by line ends, so that an indented list was "not JSON" for good, asked for again from the same version each time; and a chunk over 68 KiB (an indented list of 300 nodes) ended the watch. Objects are taken as they become whole, whatever lines they stand on, and chunks up to 4 MiB. What can't be read as JSON has the whole list asked for next, as what can't be read as news had.

--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -235,13 +235,7 @@
             Body::Empty => {}
             Body::Length(size) if size > most => return Err(Broken::TooLarge),
             Body::Length(size) => self.take(size, &mut whole)?,
-            Body::Chunked => {
-                while self.chunk(&mut whole)? {
-                    if whole.len() > most {
-                        return Err(Broken::TooLarge);
-                    }
-                }
-            }
+            Body::Chunked => while self.chunk(&mut whole, most)? {},
             Body::ToEnd => loop {
                 whole.extend_from_slice(&self.buffer[self.start..self.end]);
                 (self.start, self.end) = (0, 0);
@@ -268,13 +262,13 @@
         Ok(())
     }
 
-    /// Appends the next chunk of a body; false after the last.
-    pub fn chunk(&mut self, to: &mut Vec<u8>) -> Result<bool, Broken> {
+    /// Appends the next chunk of a body, which may come to so much then; false after the last.
+    pub fn chunk(&mut self, to: &mut Vec<u8>, most: usize) -> Result<bool, Broken> {
         loop {
             match httparse::parse_chunk_size(&self.buffer[self.start..self.end]) {
                 Ok(httparse::Status::Complete((skip, size))) => {
                     self.start += skip;
-                    if size > SIZE as u64 {
+                    if size > most.saturating_sub(to.len()) as u64 {
                         return Err(Broken::TooLarge);
                     }
                     if size == 0 {
--- a/src/net/node_list.rs
+++ b/src/net/node_list.rs
@@ -17,16 +17,17 @@
 const CONNECT: Duration = Duration::from_secs(1);
 /// The node list takes its callers one after another: time for each limiter of the fleet.
 const TURN: Duration = Duration::from_millis(20);
-/// The longest wait before a list is asked that may answer at once; the longest time for all turns of a fleet that was
-/// turned away, and the longest wait then: at least, and at most.
+/// The longest wait before a list is asked that may answer at once, as a part of the time for which a node told to be
+/// draining may still be sent to.
 ///
 /// Guards against a limiter of a large fleet that asks too late: what the list has to tell counts as told from the start on
-/// to a limiter that could have asked, and nothing may go to a drained node a second later.
-const LONGEST_FIRST: Duration = Duration::from_millis(700);
+/// to a limiter that could have asked, and nothing may go to a drained node after that time.
+const FIRST_PART: f64 = 0.7;
+/// The longest time for all turns of a fleet that was turned away, and the longest wait then: at least, and at most.
 const LONGEST_TURNS: Duration = Duration::from_secs(2);
 const LONGEST_WAIT: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(5)];
-/// A line of the watch holds the whole list at most.
-const LONGEST_LINE: usize = 4 << 20;
+/// What comes at once is the whole list at most.
+const LONGEST_NEWS: usize = 4 << 20;
 
 /// The watch of a node list, as those see it who may send it elsewhere.
 #[derive(Clone)]
@@ -51,7 +52,7 @@
 pub fn watch(
     from: SocketAddr,
     generation: u64,
-    (limiters, seed): (Arc<AtomicU32>, u64),
+    (limiters, grace, seed): (Arc<AtomicU32>, Duration, u64),
     news: impl Fn(NodeNews) + Send + 'static,
     log: Logger,
 ) -> io::Result<Watch> {
@@ -59,8 +60,9 @@
     let rng = fastrand::Rng::with_seed(seed);
     let watch = Watch { moved, current: Arc::default() };
     let current = watch.current.clone();
+    let first = grace.mul_f64(FIRST_PART);
     let mut follower =
-        Follower { from, generation: Some(generation), moves, current, limiters, rng, news, log };
+        Follower { from, generation: Some(generation), moves, current, limiters, first, rng, news, log };
     super::spawn("node-list", move || follower.run())?;
     Ok(watch)
 }
@@ -70,14 +72,14 @@
     (TURN * limiters.max(1)).min(LONGEST_TURNS)
 }
 
-/// The longest that may be waited before a call, after one that may have been waited for `last`. Short at first and once
-/// the list was heard; all turns of the fleet where it turned away, and three times as long at the most.
+/// The longest that may be waited before a call, after one that may have been waited for `last`. At first and once
+/// the list was heard, `first` at the most; all turns of the fleet where it turned away, and three times as long at the most.
 ///
 /// Guards against a fleet that was cut off or started together and asks again together: a node list turns most callers
 /// away then, and limiters that asked each second kept it so for the rest of the day.
-fn next_wait(last: Duration, turns: Duration, heard: bool) -> Duration {
-    if heard {
-        turns.min(LONGEST_FIRST)
+fn next_wait(last: Duration, turns: Duration, first: Option<Duration>) -> Duration {
+    if let Some(first) = first {
+        turns.min(first)
     } else {
         (last * 2).max(turns).min((turns * 3).clamp(LONGEST_WAIT[0], LONGEST_WAIT[1]))
     }
@@ -96,6 +98,8 @@
     current: Arc<Mutex<Option<TcpStream>>>,
     /// Limiters that ask beside this one, and this one.
     limiters: Arc<AtomicU32>,
+    /// The longest wait before a call that may be answered at once.
+    first: Duration,
     rng: fastrand::Rng,
     news: N,
     log: Logger,
@@ -108,14 +112,14 @@
     }
 
     fn run(&mut self) {
-        let mut wait = next_wait(self.turns(), self.turns(), true);
+        let mut wait = next_wait(self.turns(), self.turns(), Some(self.first));
         loop {
             // Before the first call too: limiters that start together would all ask within a few milliseconds.
             let mut moved = self.moves.recv_timeout(spread(wait, self.rng.f64())).ok();
             while let Some(at) = moved {
                 info!(self.log, "node list moved"; "to" => %at);
                 (self.from, self.generation) = (at, None);
-                wait = next_wait(wait, self.turns(), true);
+                wait = next_wait(wait, self.turns(), Some(self.first));
                 moved = self.moves.try_recv().ok();
             }
             let (before, began) = (self.generation, Instant::now());
@@ -126,7 +130,7 @@
             }
             // A watch that went on for a while is no caller turned away, though it brought no news.
             let heard = self.generation != before || began.elapsed() >= SILENCE;
-            wait = next_wait(wait, self.turns(), heard);
+            wait = next_wait(wait, self.turns(), heard.then_some(self.first));
         }
     }
 
@@ -151,11 +155,14 @@
         if self.generation.is_none() {
             let stream = self.connect()?;
             self.ask(&stream, "")?;
-            let (head, list) = Reader::new(&stream).response_with_body(LONGEST_LINE, false)?;
+            let (head, list) = Reader::new(&stream).response_with_body(LONGEST_NEWS, false)?;
             if head.status != 200 {
                 return Err(Broken::Malformed("not a node list"));
             }
             self.tell(&list, true)?;
+            if self.generation.is_none() {
+                return Err(Broken::Malformed("no node list"));
+            }
         }
         let stream = self.connect()?;
         self.ask(&stream, &format!("?watch=1&from={}", self.generation.unwrap_or(0)))?;
@@ -164,29 +171,40 @@
         if head.status != 200 || head.body != Body::Chunked {
             return Err(Broken::Malformed("not a watch"));
         }
-        let mut text = Vec::new();
-        while reader.chunk(&mut text)? {
-            while let Some(end) = text.iter().position(|b| *b == b'\n') {
-                let line: Vec<u8> = text.drain(..=end).collect();
-                let line = line.trim_ascii();
-                if !line.is_empty() {
-                    self.tell(line, false)?;
-                }
-            }
-            if text.len() > LONGEST_LINE {
-                return Err(Broken::TooLarge);
+        let (mut text, mut seen) = (Vec::new(), 0);
+        while reader.chunk(&mut text, LONGEST_NEWS)? {
+            match text.trim_ascii_start().first() {
+                None => text.clear(),
+                // Nothing has become whole without a brace.
+                Some(b'{') if !text[seen..].contains(&b'}') => {}
+                Some(_) => drop(text.drain(..self.tell(&text, false)?)),
             }
+            seen = text.len();
         }
         Ok(())
     }
 
-    /// Passes on what a line or a `whole` list holds, unless the watch has been sent elsewhere since it came.
-    fn tell(&mut self, text: &[u8], whole: bool) -> Result<(), Broken> {
+    /// Passes on each object that has come whole, or the one that is the `whole` list, unless the watch has been sent
+    /// elsewhere since it came; how much of the text that was. An object may stand on one line or be spread over many.
+    fn tell(&mut self, text: &[u8], whole: bool) -> Result<usize, Broken> {
+        let mut objects = serde_json::Deserializer::from_slice(text).into_iter::<Value>();
+        let mut told = 0;
+        loop {
+            match objects.next() {
+                None => return Ok(text.len()),
+                Some(Ok(value)) => self.pass_on(&value, whole)?,
+                Some(Err(fault)) if fault.is_eof() && !whole => return Ok(told),
+                Some(Err(_)) => return Err(self.unreadable("not JSON")),
+            }
+            told = objects.byte_offset();
+        }
+    }
+
+    fn pass_on(&mut self, value: &Value, whole: bool) -> Result<(), Broken> {
         if !self.moves.is_empty() {
             return Err(Broken::Closed);
         }
-        let value: Value = serde_json::from_slice(text).map_err(|_| Broken::Malformed("not JSON"))?;
-        match config::node_news(&value) {
+        match config::node_news(value) {
             Ok(told) => {
                 let told = NodeNews { full: told.full || whole, ..told };
                 info!(self.log, "node list news"; "generation" => told.generation, "full" => told.full,
@@ -195,26 +213,31 @@
                 (self.news)(told);
                 Ok(())
             }
-            Err(fault) => {
-                warn!(self.log, "node list news unreadable"; "fault" => fault);
-                // Without what it held, later changes would not make up the list: it is read whole next.
-                self.generation = None;
-                Err(Broken::Malformed("unreadable news"))
-            }
+            Err(fault) => Err(self.unreadable(&fault)),
         }
     }
+
+    /// Without what it held, later changes would not make up the list: it is read whole next.
+    fn unreadable(&mut self, fault: &str) -> Broken {
+        warn!(self.log, "node list news unreadable"; "fault" => fault);
+        self.generation = None;
+        Broken::Malformed("unreadable news")
+    }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    /// Where a node told to be draining may be sent to for a second.
+    const FIRST: Option<Duration> = Some(Duration::from_millis(700));
+
     /// 100 limiters that were cut off at the same moment ask a list that takes one of them in 20 ms and turns away
     /// who waits longer than 250 ms; who is turned away took that time all the same. So many are left after 10 s,
     /// and when the others were served, in ms.
     fn cut_off(mut pause: impl FnMut(&mut (Duration, fastrand::Rng)) -> Duration) -> (usize, Vec<u64>) {
         let fleet =
-            (0..100).map(|seed| (next_wait(turns(100), turns(100), true), fastrand::Rng::with_seed(seed)));
+            (0..100).map(|seed| (next_wait(turns(100), turns(100), FIRST), fastrand::Rng::with_seed(seed)));
         let mut fleet: Vec<_> = fleet.collect();
         let mut asks: Vec<(Duration, usize)> =
             fleet.iter_mut().enumerate().map(|(n, own)| (pause(own), n)).collect();
@@ -239,7 +262,7 @@
     fn a_fleet_that_was_cut_off_together_comes_back_one_after_another() {
         let spread_out = |(wait, rng): &mut (Duration, fastrand::Rng)| {
             let pause = spread(*wait, rng.f64());
-            *wait = next_wait(*wait, turns(100), false);
+            *wait = next_wait(*wait, turns(100), None);
             pause
         };
         let (left, served) = cut_off(spread_out);
@@ -252,11 +275,11 @@
     #[test]
     fn waits_grow_with_the_fleet_and_start_again_after_news() {
         let (few, many) = (turns(3), turns(300));
-        let longest = |turns| (0..10).fold(turns, |wait, _| next_wait(wait, turns, false));
+        let longest = |turns| (0..10).fold(turns, |wait, _| next_wait(wait, turns, None));
         assert_eq!((longest(few), longest(many)), (LONGEST_WAIT[0], LONGEST_WAIT[1]));
         // A first try comes well before a second has gone.
-        assert!(spread(next_wait(many, many, true), 1.0) < Duration::from_millis(800));
-        assert_eq!(next_wait(longest(many), many, true), LONGEST_FIRST);
+        assert!(spread(next_wait(many, many, FIRST), 1.0) < Duration::from_millis(800));
+        assert_eq!(Some(next_wait(longest(many), many, FIRST)), FIRST);
         assert!(spread(many, 0.0) > Duration::ZERO && spread(many, 1.0) <= many);
     }
 }
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -19,6 +19,7 @@
     let agents = Agents { names: config.names, classes, most_units, limiters };
     let speech = PlatformSpeech(config.load_fields);
     let (generation, seed) = (config.common.known.generation, config.common.seed);
+    let grace = Duration::from_micros(settings.safety.drain_grace);
     let (mut list_at, mut counter_at) = (config.node_list, config.quota_counter);
     let counter_log = log.new(o!("part" => "counter"));
     let counter = |counted| match counter_at {
@@ -27,7 +28,8 @@
     };
     let limiter = Limiter::start(config.common, agents, speech, counter, log)?;
     let list_log = log.new(o!("part" => "node-list"));
-    let watch = node_list::watch(list_at, generation, (limiter.limiters(), seed), limiter.news(), list_log)?;
+    let watch =
+        node_list::watch(list_at, generation, (limiter.limiters(), grace, seed), limiter.news(), list_log)?;
     let (lines, log) = (limiter.count_lines(), log.clone());
     let reload = move |config: Platform| {
         if config.node_list != list_at {
