Crossings: requests of agents that left, late second answers, drains and ends between two steps

- An agent that sends what can't be read, then over 128 KiB more, and goes: the reader stopped reading and nobody saw the end (the FIN stands behind unread bytes).
Its open requests were sent on up to 2.6 s later.
They end with the reading now.
- A reader held back (nonsense before, an upgrade, a late accept) took requests of agents long gone.
The connection is looked at (poll for RDHUP) before a request is taken after such a rest, and by the watch while requests wait; the end of a connection by its writer tells of them too.
Closing a request withdraws what is not written yet.
- An attempt waiting for its connection was written to a node that the list had told to be draining or left out meanwhile.
Such attempts are barred as an operator's ban bars them: they never ran, and may go elsewhere.
- A second answer some milliseconds late was served as the next request's on the same connection, if that was used again at once.
A connection rests 50 ms after an answer.
- A connection closed as idle under a request that its reader had read already: it was dropped with no answer.
Closing shuts the reading side alone, and the reader ends the connection once it has taken all that had come.
- A connection accepted after idle ones were closed at SIGTERM was closed unread.

--- a/src/limiter/bans.rs
+++ b/src/limiter/bans.rs
@@ -40,6 +40,12 @@
         members.into_iter().map(|member| self.laid_over(member)).collect()
     }
 
+    /// Nodes that were listed and are not in this whole list.
+    pub(crate) fn missing(&self, whole: &[Member]) -> Vec<ServerId> {
+        let there: HashSet<_> = whole.iter().map(|member| &member.id).collect();
+        self.listed.keys().filter(|id| !there.contains(id)).cloned().collect()
+    }
+
     fn laid_over(&self, mut member: Member) -> Member {
         if self.out.contains(&member.id) && member.readiness == Readiness::Ready {
             member.readiness = Readiness::Draining;
--- a/src/limiter/mod.rs
+++ b/src/limiter/mod.rs
@@ -25,10 +25,6 @@
 /// What the module gives up so shortly before its deadline has run out of time, not out of nodes.
 const LAST_MOMENTS: Micros = 50_000;
 
-/// Guards against an end between the reading of a request and its way through the queue: the agent would find
-/// its connection closed under a request that was taken.
-const STILL_READ: Micros = 100_000;
-
 /// Names an attempt: the number of its request, and its place among that request's attempts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptId {
@@ -72,6 +68,8 @@
     /// Gives an attempt up; whatever it still brings is dropped. False if not a byte of it was written: it never
     /// ran and never will.
     fn cancel(&mut self, attempt: AttemptId) -> bool;
+    /// Keeps an attempt of which not a byte is written from being written at all; false if it is under way.
+    fn withdraw(&mut self, attempt: AttemptId) -> bool;
     /// Asks a ticket node for its load.
     fn probe(&mut self, node: &ServerId);
     /// Nothing more is to go to this ticket node, not even what has been started and is not written yet.
@@ -82,6 +80,8 @@
     fn listed(&mut self, known: usize, excluded: usize);
     /// Adds to a count; `call` comes back with the total.
     fn add(&mut self, call: u64, name: u64, by: f64, ttl: Duration);
+    /// An agent is connected, from which a request may be on its way here.
+    fn agents(&self) -> bool;
 }
 
 /// An agent's request as it reaches the core.
@@ -194,7 +194,6 @@
     Attempt(AttemptId),
     Request(u64),
     Count(u64),
-    Quiet,
     Stop,
 }
 
@@ -249,8 +248,10 @@
     events: VecDeque<Event>,
     actions: Vec<Action>,
     ready: Sender<()>,
-    /// Told to stop, long enough ago for whatever was read by then to be here.
-    quiet: bool,
+    /// Told to stop once every connection of an agent has ended.
+    stopping: bool,
+    /// Out of time for that.
+    stopped: bool,
     full: Hush,
     twice: Hush,
 }
@@ -288,7 +289,8 @@
             events: VecDeque::new(),
             actions: Vec::new(),
             ready,
-            quiet: false,
+            stopping: false,
+            stopped: false,
             full: Hush::default(),
             twice: Hush::default(),
         }
@@ -296,7 +298,8 @@
 
     /// Runs until it is stopped and everything open is answered.
     pub fn run(mut self, inputs: Receiver<Input<E>>, orders: Receiver<Order>) -> Bye {
-        while self.goes_on() {
+        // What has come by the end is still taken.
+        while self.goes_on() || !(self.stopped || inputs.is_empty()) {
             let input = match self.timers.next() {
                 Some(at) => inputs.recv_deadline(self.clock.moment(at)),
                 None => inputs.recv().map_err(|_| RecvTimeoutError::Disconnected),
@@ -317,15 +320,23 @@
         self.gateway.untold()
     }
 
-    /// A predecessor waits for its last calls of the counter too, as what these turn out not to have added goes along.
+    /// Up to the end of the last connection: a request may come on each that is there. A predecessor hands these over, and
+    /// waits for its last calls of the counter too, as what these turn out not to have added goes along.
     fn goes_on(&self) -> bool {
-        !self.open.is_empty() || if self.finishing { !self.counts.is_empty() } else { !self.quiet }
+        if self.finishing {
+            return !self.open.is_empty() || !self.counts.is_empty();
+        }
+        let alone = self.stopping && self.given.is_none();
+        !self.stopped && (!alone || !self.open.is_empty() || self.edges.agents())
     }
 
     fn take(&mut self, now: Micros, input: Input<E>) {
         match input {
             Input::Nodes(scope, members) => {
                 let known = members.iter().any(|m| m.readiness == Readiness::Ready);
+                if scope == Scope::Full {
+                    self.bans.missing(&members).iter().for_each(|node| self.edges.bar(node));
+                }
                 let members = self.bans.news(scope, members);
                 self.listed(now, scope, members);
                 if known {
@@ -358,7 +369,7 @@
             Input::Ordered => {}
             Input::Stop(by) => {
                 info!(self.log, "stopping"; "open" => self.open.len());
-                self.timers.set(now + STILL_READ, Due::Quiet);
+                self.stopping = true;
                 self.timers.set(self.clock.at(by), Due::Stop);
             }
         }
@@ -433,7 +444,9 @@
         }
     }
 
+    /// What waits for a connection to a node that takes nothing new is not sent once it comes up.
     fn listed(&mut self, now: Micros, scope: Scope, members: Vec<Member>) {
+        members.iter().filter(|m| m.readiness != Readiness::Ready).for_each(|m| self.edges.bar(&m.id));
         self.tell(now, Event::Members { scope, members });
         let (known, excluded) = self.bans.counts();
         self.edges.listed(known, excluded);
@@ -508,11 +521,9 @@
                     self.tell(now, Event::Counted { name, total: 0.0, outcome: Outcome::Timeout });
                 }
             }
-            // While a successor takes over, the last connections are handed over first.
-            Due::Quiet => self.quiet = self.given.is_none(),
             Due::Stop => {
                 let open: Vec<u64> = self.open.keys().copied().collect();
-                self.quiet = true;
+                self.stopped = true;
                 if !open.is_empty() {
                     warn!(self.log, "out of time to stop"; "open" => open.len());
                 }
@@ -529,9 +540,15 @@
         self.tell(now, Event::Gone { id: open.id });
     }
 
-    /// Takes a request out of the open ones: its answer is due now.
+    /// Takes a request out of the open ones: its answer is due now, and what is not written for it yet never will be.
     fn close(&mut self, number: u64) -> Option<Open<E>> {
         let open = self.open.remove(&number)?;
+        for attempt in 0..open.attempts {
+            let attempt = AttemptId { request: number, attempt };
+            if self.out.contains_key(&attempt) && self.edges.withdraw(attempt) {
+                self.take_out(attempt);
+            }
+        }
         if let Some(name) = &open.name {
             self.names.remove(name);
         }
--- a/src/net/agents.rs
+++ b/src/net/agents.rs
@@ -11,7 +11,6 @@
 use std::io::{self, Write};
 use std::net::TcpStream;
 use std::ops::Range;
-use std::thread;
 use std::time::{Duration, Instant};
 
 /// A command can grow by the digits of a new deadline on its way to a ticket node.
@@ -93,7 +92,7 @@
                         if !desk.say((), Reply::words(&format!("-ERR {fault}\r\n"))) {
                             return Vec::new();
                         }
-                        thread::sleep(BAD_WAIT * bad);
+                        desk.hold_back(BAD_WAIT * bad);
                         continue;
                     }
                 };
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -13,6 +13,7 @@
 use crate::figures::{End, Figures, Tally};
 use crate::hush::Hush;
 use crate::limiter::{Answer, Incoming, Input};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use slog::{info, warn, Logger};
 use std::collections::{HashMap, VecDeque};
 use std::io::{self, Read, Write};
@@ -197,6 +198,10 @@
     owed: usize,
     /// Nothing that is read from now on is taken.
     closed: bool,
+    /// Its reader ends it once it finds no more to be read and nothing is owed.
+    leaving: bool,
+    /// What is read next may have come long ago: since then the agent may have left.
+    held_back: bool,
     /// Handed over: another process reads and writes on it.
     moved: bool,
     /// A request has come: neither the front's own words nor what can't be understood counts.
@@ -222,6 +227,9 @@
     /// Takes the next place in the order of answers for a request of this class; none if the connection is closing,
     /// and what was read is not taken.
     pub fn place(&self, shape: M::Shape, class: usize) -> Option<(u64, Slot<ValueOf<M>>)> {
+        if self.link.has_left() {
+            return None;
+        }
         let number = self.front.numbers.fetch_add(1, Ordering::Relaxed);
         let owed = self.link.begin()?;
         let tally = Some(self.front.figures.taken(class));
@@ -280,7 +288,7 @@
 
     /// With nothing before them, words are written at once.
     fn put(&self, shape: M::Shape, words: Reply<ValueOf<M>>) -> bool {
-        let closing = self.front.closing.load(Ordering::SeqCst);
+        let closing = self.front.is_closing();
         let mut state = lock(&self.link.state);
         match words {
             Reply::Words { text, last } if !state.writing && state.queue.is_empty() => {
@@ -302,6 +310,12 @@
         state.half.get_or_insert_with(Instant::now);
     }
 
+    /// Reads nothing for a while.
+    pub fn hold_back(&self, wait: Duration) {
+        thread::sleep(wait);
+        lock(&self.link.state).held_back = true;
+    }
+
     /// A request of this class is answered as failed by the front itself.
     pub fn failed(&self, class: usize) {
         drop(self.front.figures.taken(class));
@@ -381,6 +395,7 @@
         let hands = to.is_some();
         *lock(&self.pass) = to;
         _ = self.wake.as_ref().map(|wake| wake.set(hands));
+        self.close_if_closing();
     }
 
     /// A connection that another process has served so far, with what was read from it.
@@ -407,18 +422,25 @@
 
     /// Closes every connection that owes nothing, and each other once it has answered; none while they are handed over.
     pub fn close_idle(&self) {
-        if lock(&self.pass).is_some() {
-            return;
-        }
         self.closing.store(true, Ordering::SeqCst);
-        for link in lock(&self.links).values() {
-            link.close_if_idle();
+        self.close_if_closing();
+    }
+
+    /// Closes what owes nothing and on which no command is on its way, if all are to be closed.
+    fn close_if_closing(&self) {
+        if self.is_closing() {
+            lock(&self.links).values().for_each(|link| link.close_if_idle());
         }
     }
 
+    /// Connections are to be closed once they owe nothing, and not handed over.
+    fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::SeqCst) && lock(&self.pass).is_none()
+    }
+
     /// Some agent is in the middle of a command.
     pub fn is_written_to(&self) -> bool {
-        lock(&self.links).values().any(|link| lock(&link.state).writes())
+        lock(&self.links).values().any(|link| lock(&link.state).is_coming())
     }
 
     /// Waits until every connection has ended, or for so long.
@@ -469,7 +491,7 @@
                     (true, false) if quiet >= SPARE => 1,
                     _ => 2,
                 };
-                (state.owed == 0 && !state.closed).then_some((place, state.idle_since))
+                (state.owed == 0 && !state.closed && !state.leaving).then_some((place, state.idle_since))
             };
             let oldest = links.values().filter_map(|l| Some((idle(l)?, l))).min_by_key(|(at, _)| *at);
             if let Some((_, link)) = oldest {
@@ -492,6 +514,7 @@
             let waited = self.opened.wait_while(links, |links| links.is_empty());
             drop(waited);
             thread::sleep(WATCH);
+            self.close_if_closing();
             links = lock(&self.links);
             let now = Instant::now();
             for link in links.values() {
@@ -536,6 +559,8 @@
             waiting: Vec::new(),
             owed: 0,
             closed: false,
+            leaving: false,
+            held_back: true,
             moved: false,
             asked: read.is_some(),
             pieces: 0,
@@ -548,9 +573,6 @@
         let number = self.numbers.fetch_add(1, Ordering::Relaxed);
         lock(&self.links).insert(number, link.clone());
         self.opened.notify_one();
-        if self.closing.load(Ordering::SeqCst) {
-            link.close_if_idle();
-        }
         let (front, reading) = (self.clone(), link.clone());
         let begun = spawn("agent-read", move || front.read(number, &reading, read.unwrap_or_default()));
         if begun.is_err() {
@@ -586,31 +608,31 @@
                 desk.dismiss(Dismissal::TooSlow);
             }
         }
-        let (by_choice, writing) = {
+        let (by_choice, writing, leaving) = {
             let mut state = lock(&link.state);
             // The writer ends once all that is owed is written.
             state.taking = false;
-            (state.spoilt.is_some(), state.writing || !state.queue.is_empty())
+            (state.spoilt.is_some(), state.writing || !state.queue.is_empty(), state.leaving)
         };
+        if leaving {
+            // It has read all that had come. What nobody has read the agent sends again elsewhere.
+            return self.read_out(number, link);
+        }
         if by_choice && !writing {
             _ = link.stream.shutdown(Shutdown::Write);
             _ = link.stream.set_read_timeout(Some(LINGER));
         }
         // Up to the end: to close with bytes unread would reset the connection under its last answer.
         let (mut part, mut drained) = ([0; 4 * 1024], 0);
-        let gone = loop {
+        while drained <= DRAINED {
             match (&link.stream).read(&mut part) {
                 Err(fault) if fault.kind() == io::ErrorKind::Interrupted => {}
-                Ok(0) | Err(_) => break true,
+                Ok(0) | Err(_) => break,
                 Ok(read) => drained += read,
             }
-            if drained > DRAINED {
-                break false;
-            }
-        };
-        if gone {
-            self.left(link);
         }
+        // Whoever has that much more to say would not be seen to leave behind it.
+        self.left(link);
         self.read_out(number, link);
     }
 
@@ -651,6 +673,7 @@
 
     /// Closes a connection, and lets another take its place.
     fn end(&self, number: u64, link: &Link<M>) {
+        self.left(link);
         link.close();
         lock(&self.links).remove(&number);
         self.freed.notify_all();
@@ -683,7 +706,7 @@
                 Reply::Words { text, last } => (&link.stream).write_all(&text).map(|()| !last),
             };
             match goes_on {
-                Ok(true) if link.end(number, self.closing.load(Ordering::SeqCst)) => {}
+                Ok(true) if link.end(number, self.is_closing()) => {}
                 Ok(_) => break true,
                 Err(_) => break false,
             }
@@ -699,6 +722,14 @@
     }
 }
 
+/// The agent has closed its connection, whether or not all that it sent has been read.
+fn hung_up(stream: &TcpStream) -> bool {
+    let mut one = [PollFd::new(stream, PollFlags::RDHUP)];
+    let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+    poll(&mut one, Some(&now)).is_ok()
+        && one[0].revents().intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
+}
+
 /// How an answer is counted once it is written whole.
 fn end<V>(answer: &Answer<V>) -> End {
     match answer {
@@ -713,6 +744,11 @@
     fn writes(&self) -> bool {
         self.pieces > 1 && self.idle_since.elapsed() < WRITING
     }
+
+    /// A command may be on its way: the agent writes one, or has only just connected.
+    fn is_coming(&self) -> bool {
+        self.writes() || (!self.asked && self.opened.elapsed() < HELD)
+    }
 }
 
 impl<M: Manner> Link<M> {
@@ -748,11 +784,32 @@
         state.waiting.retain(|n| *n != number);
         state.owed = state.owed.saturating_sub(1);
         state.idle_since = Instant::now();
-        state.closed |= closing && state.owed == 0;
+        if closing {
+            self.leave(&mut state);
+        }
         self.answered.notify_all();
         !state.closed || (state.spoilt.is_some() && state.owed > 0)
     }
 
+    /// Ends if nothing is owed: by its reader, who serves what it has read by then.
+    ///
+    /// Guards against an end between the reading of a request and its taking: the agent would find its connection closed
+    /// under it, and not know that it never ran.
+    fn leave(&self, state: &mut LinkState<M>) {
+        if state.owed == 0 && !state.moved {
+            state.leaving = true;
+            _ = self.stream.shutdown(Shutdown::Read);
+        }
+    }
+
+    /// The agent left while it was not read from. Seen once reading goes on, before a request of its is taken.
+    fn has_left(&self) -> bool {
+        let mut state = lock(&self.state);
+        let left = std::mem::take(&mut state.held_back) && !state.leaving && hung_up(&self.stream);
+        state.closed |= left;
+        left
+    }
+
     /// Closes the connection if it has waited for too long; else says which requests are to be given up, as what
     /// stands behind them can't wait.
     fn look(&self, now: Instant) -> Vec<u64> {
@@ -760,6 +817,11 @@
         if state.spoilt.is_some_and(|by| now >= by) {
             return std::mem::take(&mut state.waiting);
         }
+        // Its reader may not see the end: it rests, waits for the hand-over or has read enough.
+        if !state.leaving && !state.waiting.is_empty() && hung_up(&self.stream) {
+            state.closed = true;
+            return std::mem::take(&mut state.waiting);
+        }
         if state.closed {
             return Vec::new();
         }
@@ -767,28 +829,23 @@
         if state.half.is_some_and(|since| now >= since + patience) {
             // The reader comes to its end, says so and closes.
             _ = self.stream.shutdown(Shutdown::Read);
-        } else if state.half.is_none() && state.owed == 0 && now >= state.idle_since + IDLE {
-            state.closed = true;
-            _ = self.stream.shutdown(Shutdown::Both);
+        } else if state.half.is_none() && now >= state.idle_since + IDLE {
+            self.leave(&mut state);
         }
         Vec::new()
     }
 
-    /// Ends if nothing is owed, unless the agent is in the middle of a command.
+    /// Ends if nothing is owed, unless a command may be on its way.
     fn close_if_idle(&self) {
-        let writes = lock(&self.state).writes();
-        if !writes {
-            self.give_way();
+        let mut state = lock(&self.state);
+        if !state.is_coming() {
+            self.leave(&mut state);
         }
     }
 
     /// Ends if nothing is owed.
     fn give_way(&self) {
-        let mut state = lock(&self.state);
-        if state.owed == 0 && !state.moved {
-            state.closed = true;
-            _ = self.stream.shutdown(Shutdown::Both);
-        }
+        self.leave(&mut lock(&self.state));
     }
 
     fn close(&self) {
@@ -806,7 +863,7 @@
         let state = lock(&self.state);
         let wait = self.answered.wait_while(state, |state| state.owed > 0 && !state.closed);
         let mut state = wait.unwrap_or_else(PoisonError::into_inner);
-        let whole = !state.closed;
+        let whole = !state.closed && !state.leaving;
         (state.closed, state.moved) = (true, whole);
         whole
     }
@@ -817,7 +874,7 @@
         if !std::mem::take(&mut state.moved) {
             return false;
         }
-        (state.closed, state.idle_since) = (false, Instant::now());
+        (state.closed, state.held_back, state.idle_since) = (false, true, Instant::now());
         true
     }
 }
--- a/src/net/node_calls.rs
+++ b/src/net/node_calls.rs
@@ -9,7 +9,7 @@
 use std::net::TcpStream;
 use std::ops::Range;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What the answer of a ticket node that served begins with: value, use and load.
 const SERVED: &[u8] = b"*3\r\n";
@@ -231,7 +231,9 @@
 
     /// Use and load behind a value: the load, or none if the connection can't be used again.
     fn behind(&self, mut stream: &TcpStream, mut come: Vec<u8>) -> Option<Vec<f64>> {
-        loop {
+        let began = Instant::now();
+        // Each read has its time, and so have all: a node may give a byte now and then for good.
+        while began.elapsed() < BEHIND {
             let used = resp::reply(&come, 0).ok()?;
             let load = used.map(|(_, at)| resp::reply(&come, at)).transpose().ok()?.flatten();
             if let Some((load, end)) = load {
@@ -245,6 +247,7 @@
             let read = stream.read(&mut part).ok().filter(|read| *read > 0 && come.len() < 4 * part.len())?;
             come.extend_from_slice(&part[..read]);
         }
+        None
     }
 
     /// What a whole reply says. `alone` if nothing came behind it.
--- a/src/net/ticket_nodes.rs
+++ b/src/net/ticket_nodes.rs
@@ -23,6 +23,9 @@
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
 /// Between two looks through all idle connections.
 const SWEEP: Duration = Duration::from_secs(1);
+/// A connection is not used again so soon after an answer: a node that answers twice does so some milliseconds later, and
+/// nothing tells the second answer from that of the next request.
+const REST: Duration = Duration::from_millis(50);
 /// Idle connections kept to one node.
 const KEPT: usize = 32;
 
@@ -227,6 +230,20 @@
         state.connection.is_some()
     }
 
+    /// Keeps an attempt of which nothing is written from being written; false if it is under way.
+    pub fn withdraw(&self, attempt: AttemptId) -> bool {
+        let mut book = lock(&self.shared.book);
+        let waits = book.running.get(&attempt).is_some_and(|line| {
+            let mut state = lock(&line.state);
+            state.cancelled |= state.connection.is_none();
+            state.cancelled
+        });
+        if waits {
+            book.running.remove(&attempt);
+        }
+        waits
+    }
+
     /// Keeps what has been started for a node, and waits for its connection, from being written.
     pub fn bar(&self, node: &ServerId) {
         let book = lock(&self.shared.book);
@@ -247,9 +264,10 @@
         let keep = shared.links.idle.saturating_sub(IDLE_MARGIN);
         let Some(node) = book.nodes.get_mut(id) else { return Err(Outcome::ConnectFailed) };
         let address = node.address;
-        // The one used last: the others may age and close.
         node.idle.retain(|idle| idle.since.elapsed() < keep);
-        let kept = node.idle.pop().map(|idle| idle.connection);
+        // The one used last that has rested: the others may age and close.
+        let rested = node.idle.iter().rposition(|idle| idle.since.elapsed() >= REST);
+        let kept = rested.map(|at| node.idle.remove(at).connection);
         let full = || shared.lines.load(Ordering::SeqCst) >= shared.most.load(Ordering::Relaxed);
         if kept.is_none() && full() && !book.close_oldest() {
             // No judgement on the node: it never got the attempt.
--- a/src/net/wiring.rs
+++ b/src/net/wiring.rs
@@ -42,6 +42,8 @@
     figures: Arc<Figures>,
     /// To the other process of an upgrade.
     news: Option<Sender<Body>>,
+    /// An agent is connected.
+    agents: Box<dyn Fn() -> bool + Send>,
 }
 
 impl<S: Speech> Edges for Wiring<S> {
@@ -61,6 +63,10 @@
         self.nodes.cancel(attempt)
     }
 
+    fn withdraw(&mut self, attempt: AttemptId) -> bool {
+        self.nodes.withdraw(attempt)
+    }
+
     fn probe(&mut self, node: &ServerId) {
         self.nodes.probe(node);
     }
@@ -84,6 +90,10 @@
             counter.add(Addition { call, name, by, ttl });
         }
     }
+
+    fn agents(&self) -> bool {
+        (self.agents)()
+    }
 }
 
 /// Takes a new configuration while the limiter runs. What is open goes on, and counts stand.
@@ -194,7 +204,11 @@
                 change.serving();
             })?,
         }
-        let edges = Wiring { nodes: nodes.clone(), counter: counter.clone(), figures, news };
+        let agents = {
+            let front = front.clone();
+            Box::new(move || !front.is_empty())
+        };
+        let edges = Wiring { nodes: nodes.clone(), counter: counter.clone(), figures, news, agents };
         let core_log = log.new(o!("part" => "core"));
         let core = Core::new(common.settings, common.seed, common.max_open, edges, clock, ready, core_log);
         Ok(Self {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -31,6 +31,10 @@
         true
     }
 
+    fn withdraw(&mut self, _: AttemptId) -> bool {
+        false
+    }
+
     fn probe(&mut self, _: &ServerId) {}
 
     fn bar(&mut self, _: &ServerId) {}
@@ -40,6 +44,10 @@
     fn listed(&mut self, _: usize, _: usize) {}
 
     fn add(&mut self, _: u64, _: u64, _: f64, _: Duration) {}
+
+    fn agents(&self) -> bool {
+        false
+    }
 }
 
 type Story = (Sender<Input<Played>>, Receiver<(u64, String)>, Receiver<AttemptId>);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -465,6 +465,8 @@
     for number in 0..=count {
         agent.ask("pay", &format!("pay-{number}"), 1500);
         told.push(agent.answer());
+        // A connection rests before it is used again.
+        std::thread::sleep(std::time::Duration::from_millis(60));
     }
     // Only the good one with nothing behind it left a connection that could be used again.
     let lines = seen.try_iter().filter(|(_, words)| words.is_some()).map(|(line, _)| line.to_string());
