Upgrade: one that comes to nothing after the word to stop ends in order, rest of 20 ms

- SIGTERM while connections are handed over, and then the newcomer dies: connections stayed open and the core went on to its last moment, 3.35 s, at which open requests fail.
The end of the hand-over closes what is idle, and the core is told that it is alone.
- A connection rests 20 ms after an answer, not 50: the second answers come "some milliseconds" late.

--- a/src/limiter/mod.rs
+++ b/src/limiter/mod.rs
@@ -124,6 +124,8 @@
     Give(Sender<Given>),
     /// The successor did not serve.
     TakeBack,
+    /// There is no successor any more.
+    Alone,
     /// Take what a predecessor knew.
     Take(Given, Sender<()>),
     /// The other process has news.
@@ -388,6 +390,7 @@
                 return;
             }
             Order::TakeBack => return self.given.take().into_iter().for_each(|g| self.gateway.take_back(g)),
+            Order::Alone => return self.given = None,
             Order::Take(given, told) => {
                 let members = given.bans.iter().flat_map(|ban| self.bans.take(ban)).collect();
                 self.listed(now, Scope::Changes, members);
--- a/src/net/ticket_nodes.rs
+++ b/src/net/ticket_nodes.rs
@@ -25,7 +25,7 @@
 const SWEEP: Duration = Duration::from_secs(1);
 /// A connection is not used again so soon after an answer: a node that answers twice does so some milliseconds later, and
 /// nothing tells the second answer from that of the next request.
-const REST: Duration = Duration::from_millis(50);
+const REST: Duration = Duration::from_millis(20);
 /// Idle connections kept to one node.
 const KEPT: usize = 32;
 
--- a/src/net/wiring.rs
+++ b/src/net/wiring.rs
@@ -336,6 +336,9 @@
     fn hand_over(&self, to: Option<Arc<Link>>) {
         // Two processes are one member: the one that serves speaks.
         self.fleet.iter().for_each(|fleet| fleet.speak(to.is_none()));
+        if to.is_none() {
+            (self.order)(Order::Alone);
+        }
         let pass = to.map(|link| -> Pass {
             Arc::new(move |stream, read| {
                 link.say(Body::Connection(read.to_vec()), Some(stream.as_fd())).is_ok()
