--- a/src/interface.rs
+++ b/src/interface.rs
@@ -379,6 +379,8 @@
         server: ServerId,
         /// Time-out of the attempt.
         timeout: Micros,
+        /// Nothing of it is written from this moment on: what is repeated may have run, and counts as new then.
+        by: Micros,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/src/limiter/mod.rs
+++ b/src/limiter/mod.rs
@@ -24,6 +24,8 @@
 
 /// What the module gives up so shortly before its deadline has run out of time, not out of nodes.
 const LAST_MOMENTS: Micros = 50_000;
+/// The longest time to come back after, where there is no room for a request.
+const FULL_ADVICE: Duration = Duration::from_millis(500);
 
 /// Names an attempt: the number of its request, and its place among that request's attempts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -34,6 +36,15 @@
     pub attempt: usize,
 }
 
+/// How long an attempt may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Wait {
+    /// Its answer is waited for until then.
+    pub ends: Instant,
+    /// It is written before this or not at all.
+    pub by: Instant,
+}
+
 /// The one final answer of a request.
 #[derive(Debug)]
 pub enum Answer<V> {
@@ -63,8 +74,8 @@
     type Value;
     /// Gives a request its final answer.
     fn answer(&mut self, client: Self::Client, answer: Answer<Self::Value>);
-    /// Starts an attempt that is waited for until `ends`.
-    fn start(&mut self, attempt: AttemptId, node: &ServerId, call: &Arc<Self::Call>, ends: Instant);
+    /// Starts an attempt.
+    fn start(&mut self, attempt: AttemptId, node: &ServerId, call: &Arc<Self::Call>, wait: Wait);
     /// Gives an attempt up; whatever it still brings is dropped. False if not a byte of it was written: it never
     /// ran and never will.
     fn cancel(&mut self, attempt: AttemptId) -> bool;
@@ -140,8 +151,8 @@
     Nodes(Scope, Vec<Member>),
     /// A request has come in whole.
     Request(Incoming<E>),
-    /// The agent that sent this request has gone away.
-    Left(u64),
+    /// The agent that sent these requests has gone away.
+    Left(Vec<u64>),
     /// The first bytes of an attempt's value have come, and are passed on to whoever gets them. The attempt ends later,
     /// without a value.
     Began {
@@ -238,6 +249,8 @@
     /// By class: a refusal is harmless even after it may have run.
     safe: Vec<bool>,
     max_attempts: usize,
+    /// When to come back where there is no room for a request; nothing where agents are not told.
+    advice: Duration,
     counter_timeout: Micros,
     max_open: usize,
     open: HashMap<u64, Open<E>>,
@@ -272,6 +285,7 @@
         Self {
             safe: settings.classes.iter().map(|c| c.effect == Effect::Safe).collect(),
             max_attempts: settings.limits.max_attempts.max(1) as usize,
+            advice: FULL_ADVICE.min(Duration::from_micros(settings.limits.max_retry_after)),
             counter_timeout: settings.counter_timeout.max(1_000),
             gateway: Gateway::new(settings, seed),
             bans: Bans::default(),
@@ -346,9 +360,14 @@
                 }
             }
             Input::Request(incoming) => self.admit(now, incoming),
-            Input::Left(number) => {
-                if let Some(open) = self.close(number) {
-                    self.tell(now, Event::Gone { id: open.id });
+            Input::Left(mut numbers) => {
+                // First what waits: it would take the place that another leaves.
+                let out: HashSet<u64> = self.out.keys().map(|attempt| attempt.request).collect();
+                numbers.sort_by_key(|number| out.contains(number));
+                for number in numbers {
+                    if let Some(open) = self.close(number) {
+                        self.tell(now, Event::Gone { id: open.id });
+                    }
                 }
             }
             Input::Began { attempt, value } => self.began(now, attempt, value),
@@ -463,7 +482,7 @@
             if let Some(more) = self.full.due() {
                 warn!(self.log, "too many open requests"; "open" => self.open.len(), "unlogged" => more);
             }
-            let answer = Answer::Refused { after: Duration::from_millis(500), late: false };
+            let answer = Answer::Refused { after: self.advice, late: false };
             return self.edges.answer(incoming.client, answer);
         }
         // Guards against the id of another agent's open request: ticket nodes would take the one for the other.
@@ -654,7 +673,7 @@
 
     fn carry_out(&mut self, now: Micros, action: Action) {
         match action {
-            Action::Send { id, server, timeout } => self.send(now, id, server, timeout),
+            Action::Send { id, server, timeout, by } => self.send(now, id, server, timeout, by),
             Action::Cancel { id, attempt } => {
                 let attempt = AttemptId { request: number(&id), attempt };
                 if let Some(out) = self.take_out(attempt) {
@@ -708,7 +727,7 @@
         }
     }
 
-    fn send(&mut self, now: Micros, id: RequestId, node: ServerId, timeout: Micros) {
+    fn send(&mut self, now: Micros, id: RequestId, node: ServerId, timeout: Micros, by: Micros) {
         let request = number(&id);
         let Some(open) = self.open.get_mut(&request) else {
             warn!(self.log, "attempt for a closed request"; "request" => &*id.0);
@@ -725,7 +744,8 @@
             return self.events.push_back(Event::Outcome(ended));
         }
         let ends = now + if timeout == 0 { left } else { timeout.min(left) };
-        self.edges.start(attempt, &node, &open.call, self.clock.moment(ends));
+        let wait = Wait { ends: self.clock.moment(ends), by: self.clock.moment(by.min(ends)) };
+        self.edges.start(attempt, &node, &open.call, wait);
         self.out.insert(attempt, Out { node, account: open.account.clone(), sent: now });
         self.timers.set(ends, Due::Attempt(attempt));
     }
--- a/src/net/count_lines.rs
+++ b/src/net/count_lines.rs
@@ -16,8 +16,11 @@
 /// The counter closes a connection that was idle for about 10 s or less: a call that crosses the close would
 /// be in doubt, so one idle for this long is not used again.
 const IDLE: Duration = Duration::from_secs(3);
-/// An answer that takes longer than this holds up all behind it: the line is given up for a new one.
+/// An answer that takes longer than this, and than so many times what a call is waited for, holds up all behind it: the
+/// line is given up for a new one.
 const STUCK: Duration = Duration::from_millis(250);
+const STUCK_TIMES: u32 = 5;
+/// A connection is waited for so long, or for as long as a call if that is longer.
 const CONNECT: Duration = Duration::from_millis(50);
 
 /// Takes the end of a call: its number, how it ended, the total.
@@ -57,9 +60,10 @@
 }
 
 impl CountLines {
-    /// Starts the threads that write calls.
+    /// Starts the threads that write calls, each of which is waited for so long.
     pub fn start(
         at: SocketAddr,
+        wait: Duration,
         speech: impl CountSpeech,
         counted: Counted,
         log: &Logger,
@@ -67,8 +71,14 @@
         let speech: Arc<dyn CountSpeech> = Arc::new(speech);
         let line = |_| {
             let (sender, jobs) = unbounded();
-            let writer =
-                Writer { at, speech: speech.clone(), counted: counted.clone(), log: log.clone(), line: None };
+            let writer = Writer {
+                at,
+                wait,
+                speech: speech.clone(),
+                counted: counted.clone(),
+                log: log.clone(),
+                line: None,
+            };
             spawn("count-write", move || writer.run(&jobs))?;
             Ok(sender)
         };
@@ -97,9 +107,9 @@
 
 impl Line {
     /// Good for another call: in use of late, and nothing on it waits too long.
-    fn fit(&self, last: Instant) -> bool {
+    fn fit(&self, last: Instant, stuck: Duration) -> bool {
         let oldest = lock(&self.waiting).front().map(|(_, at)| *at);
-        oldest.map_or(last.elapsed() < IDLE, |at| at.elapsed() < STUCK)
+        oldest.map_or(last.elapsed() < IDLE, |at| at.elapsed() < stuck)
     }
 
     fn read(&self, speech: &dyn CountSpeech, counted: &Counted) {
@@ -134,6 +144,7 @@
 /// Writes the calls of one line.
 struct Writer {
     at: SocketAddr,
+    wait: Duration,
     speech: Arc<dyn CountSpeech>,
     counted: Counted,
     log: Logger,
@@ -143,6 +154,7 @@
 impl Writer {
     fn run(mut self, jobs: &Receiver<Job>) {
         let (mut last, mut failing) = (Instant::now(), false);
+        let stuck = self.stuck();
         for job in jobs {
             let addition = match job {
                 Job::Add(addition) => addition,
@@ -154,7 +166,7 @@
                     continue;
                 }
             };
-            if let Some(unfit) = self.line.take_if(|l| !l.fit(last)) {
+            if let Some(unfit) = self.line.take_if(|l| !l.fit(last, stuck)) {
                 unfit.close();
             }
             last = Instant::now();
@@ -173,13 +185,17 @@
         }
     }
 
+    fn stuck(&self) -> Duration {
+        STUCK.max(self.wait * STUCK_TIMES)
+    }
+
     fn open(&mut self) -> io::Result<Arc<Line>> {
         if let Some(line) = &self.line {
             return Ok(line.clone());
         }
-        let stream = TcpStream::connect_timeout(&self.at, CONNECT)?;
+        let stream = TcpStream::connect_timeout(&self.at, CONNECT.max(self.wait))?;
         stream.set_nodelay(true)?;
-        stream.set_write_timeout(Some(STUCK))?;
+        stream.set_write_timeout(Some(self.stuck()))?;
         let line = Arc::new(Line { stream, waiting: Mutex::default(), left: AtomicBool::new(false) });
         let (reader, speech, counted) = (line.clone(), self.speech.clone(), self.counted.clone());
         spawn("count-read", move || reader.read(&*speech, &counted))?;
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -518,8 +518,7 @@
             links = lock(&self.links);
             let now = Instant::now();
             for link in links.values() {
-                let left = link.look(now);
-                left.into_iter().for_each(|number| _ = self.queue.send(Input::Left(number)));
+                self.tell_left(link.look(now));
             }
             self.thin_out(&links);
         }
@@ -685,7 +684,14 @@
         state.closed = true;
         let left = std::mem::take(&mut state.waiting);
         drop(state);
-        left.into_iter().for_each(|number| _ = self.queue.send(Input::Left(number)));
+        self.tell_left(left);
+    }
+
+    /// All at once: told one after another, a request that waits would be sent on in the place of the one before it.
+    fn tell_left(&self, left: Vec<u64>) {
+        if !left.is_empty() {
+            _ = self.queue.send(Input::Left(left));
+        }
     }
 
     /// Writes answers in order while they are there.
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -20,10 +20,11 @@
     let speech = PlatformSpeech(config.load_fields);
     let (generation, seed) = (config.common.known.generation, config.common.seed);
     let grace = Duration::from_micros(settings.safety.drain_grace);
+    let wait = Duration::from_micros(settings.counter_timeout);
     let (mut list_at, mut counter_at) = (config.node_list, config.quota_counter);
     let counter_log = log.new(o!("part" => "counter"));
     let counter = |counted| match counter_at {
-        Some(at) => CountLines::start(at, QuotaCounter, counted, &counter_log).map(Some),
+        Some(at) => CountLines::start(at, wait, QuotaCounter, counted, &counter_log).map(Some),
         None => Ok(None),
     };
     let limiter = Limiter::start(config.common, agents, speech, counter, log)?;
--- a/src/net/ticket_nodes.rs
+++ b/src/net/ticket_nodes.rs
@@ -8,7 +8,7 @@
 use crate::figures::Figures;
 use crate::hush::Hush;
 use crate::interface::{Outcome, Readiness, ServerId};
-use crate::limiter::{AttemptId, Input};
+use crate::limiter::{AttemptId, Input, Wait};
 use slog::{warn, Logger};
 use socket2::SockRef;
 use std::collections::HashMap;
@@ -17,14 +17,15 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::{Duration, Instant};
 
-/// A connection is not used again within this time of the node's closing it.
+/// A connection is not used again within this time of the node's closing it, or half of the time it may be idle.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
 /// Between two looks through all idle connections.
 const SWEEP: Duration = Duration::from_secs(1);
 /// A connection is not used again so soon after an answer: a node that answers twice does so some milliseconds later, and
-/// nothing tells the second answer from that of the next request.
+/// nothing tells the second answer from that of the next request. It is waited for, as a new one costs the node more.
 const REST: Duration = Duration::from_millis(20);
 /// Idle connections kept to one node.
 const KEPT: usize = 32;
@@ -161,7 +162,7 @@
 }
 
 enum Job<C> {
-    Attempt { attempt: AttemptId, call: Arc<C>, ends: Instant, line: Arc<Line> },
+    Attempt { attempt: AttemptId, call: Arc<C>, wait: Wait, line: Arc<Line> },
     Probe,
 }
 
@@ -209,10 +210,10 @@
     }
 
     /// Starts an attempt on an idle connection, or on a new one.
-    pub fn start(&self, attempt: AttemptId, node: &ServerId, call: Arc<S::Call>, ends: Instant) {
+    pub fn start(&self, attempt: AttemptId, node: &ServerId, call: Arc<S::Call>, wait: Wait) {
         let line = Arc::new(Line { node: node.clone(), state: Mutex::default() });
         lock(&self.shared.book).running.insert(attempt, line.clone());
-        if let Err(outcome) = self.give(node, Job::Attempt { attempt, call, ends, line }) {
+        if let Err(outcome) = self.give(node, Job::Attempt { attempt, call, wait, line }) {
             lock(&self.shared.book).running.remove(&attempt);
             _ = self.shared.queue.send(Input::Ended { attempt, outcome, load: Vec::new(), value: None });
         }
@@ -261,13 +262,13 @@
     fn give(&self, id: &ServerId, job: Job<S::Call>) -> Result<(), Outcome> {
         let shared = &self.shared;
         let mut book = lock(&shared.book);
-        let keep = shared.links.idle.saturating_sub(IDLE_MARGIN);
+        let keep = kept_for(&shared.links);
         let Some(node) = book.nodes.get_mut(id) else { return Err(Outcome::ConnectFailed) };
         let address = node.address;
         node.idle.retain(|idle| idle.since.elapsed() < keep);
-        // The one used last that has rested: the others may age and close.
+        // The one used last that has rested: the others may age and close. Else the one that will have rested first.
         let rested = node.idle.iter().rposition(|idle| idle.since.elapsed() >= REST);
-        let kept = rested.map(|at| node.idle.remove(at).connection);
+        let kept = (!node.idle.is_empty()).then(|| node.idle.remove(rested.unwrap_or(0)));
         let full = || shared.lines.load(Ordering::SeqCst) >= shared.most.load(Ordering::Relaxed);
         if kept.is_none() && full() && !book.close_oldest() {
             // No judgement on the node: it never got the attempt.
@@ -280,7 +281,7 @@
         let counted = kept.is_none().then(|| Counted::new(&shared.lines));
         drop(book);
         let (id, own) = (id.clone(), shared.clone());
-        let work = move || Worker { id, address, kept, counted, shared: own }.carry_out(job);
+        let work = move || Worker { id, address, kept, counted, used: None, shared: own }.carry_out(job);
         if let Err(fault) = spawn("node", work) {
             warn!(shared.log, "no thread for a ticket node"; "fault" => %fault);
             return Err(Outcome::Moot);
@@ -300,7 +301,7 @@
     /// Puts a connection among the idle ones of its node, if the node is still there and has few. Looks through all now
     /// and then: the node closes what is idle for too long.
     fn rest(&mut self, id: &ServerId, address: SocketAddr, connection: Arc<Connection>, links: &Links) {
-        let keep = links.idle.saturating_sub(IDLE_MARGIN);
+        let keep = kept_for(links);
         if self.swept.elapsed() >= SWEEP {
             self.swept = Instant::now();
             self.nodes.values_mut().for_each(|node| node.idle.retain(|idle| idle.since.elapsed() < keep));
@@ -315,10 +316,12 @@
 struct Worker<S: Speech> {
     id: ServerId,
     address: SocketAddr,
-    /// The connection that it was given.
-    kept: Option<Arc<Connection>>,
+    /// The connection that it was given, which may have to rest yet.
+    kept: Option<Idle>,
     /// Or its place for a new one.
     counted: Option<Counted>,
+    /// The connection that it uses.
+    used: Option<Arc<Connection>>,
     shared: Arc<Shared<S>>,
 }
 
@@ -326,10 +329,10 @@
     /// Carries out a job and tells of its end.
     fn carry_out(mut self, job: Job<S::Call>) {
         match job {
-            Job::Attempt { attempt, call, ends, line } => {
+            Job::Attempt { attempt, call, wait, line } => {
                 let queue = self.shared.queue.clone();
                 let begins = move |value| _ = queue.send(Input::Began { attempt, value });
-                let Exchange { outcome, load, value, keep } = self.attempt(&call, ends, &line, &begins);
+                let Exchange { outcome, load, value, keep } = self.attempt(&call, wait, &line, &begins);
                 {
                     let mut book = lock(&self.shared.book);
                     // A cancelled attempt has left the book, and its connection is closed.
@@ -349,7 +352,7 @@
     }
 
     fn rest(&self, book: &mut Book, keep: bool) {
-        if let Some(connection) = self.kept.clone().filter(|_| keep) {
+        if let Some(connection) = self.used.clone().filter(|_| keep) {
             book.rest(&self.id, self.address, connection, &self.shared.links);
         }
     }
@@ -357,7 +360,7 @@
     fn attempt(
         &mut self,
         call: &S::Call,
-        ends: Instant,
+        wait: Wait,
         line: &Line,
         begins: &dyn Fn(S::Value),
     ) -> Exchange<S::Value> {
@@ -367,12 +370,13 @@
             if state.cancelled {
                 return Exchange::broke(Outcome::Cancelled);
             }
-            if state.barred {
+            // Its connection may have come up late.
+            if state.barred || Instant::now() >= wait.by {
                 return Exchange::broke(Outcome::ConnectFailed);
             }
             state.connection = Some(connection.clone());
         }
-        let left = ends.saturating_duration_since(Instant::now());
+        let left = wait.ends.saturating_duration_since(Instant::now());
         match self.shared.speech.write(call, &connection.stream, left) {
             Ok(()) => {
                 self.shared.figures.attempt();
@@ -399,21 +403,27 @@
     /// Guards against a request written to a connection that the node has closed meanwhile: it would end as a
     /// reset, and a request that must not run twice would be lost with it.
     fn connected(&mut self) -> io::Result<Arc<Connection>> {
-        if let Some(connection) = self.kept.take_if(|c| stands(&c.stream)) {
-            self.kept = Some(connection.clone());
-            return Ok(connection);
+        if let Some(Idle { connection, since }) = self.kept.take() {
+            thread::sleep((since + REST).saturating_duration_since(Instant::now()));
+            if stands(&connection.stream) {
+                self.used = Some(connection.clone());
+                return Ok(connection);
+            }
         }
         let counted = self.counted.take().unwrap_or_else(|| Counted::new(&self.shared.lines));
-        // Not counted twice where it takes the place of one that has ended.
-        self.kept = None;
         let stream = TcpStream::connect_timeout(&self.address, self.shared.links.connect)?;
         stream.set_nodelay(true)?;
         let connection = Arc::new(Connection { stream, _counted: counted });
-        self.kept = Some(connection.clone());
+        self.used = Some(connection.clone());
         Ok(connection)
     }
 }
 
+/// How long an idle connection may be used again.
+fn kept_for(links: &Links) -> Duration {
+    links.idle - IDLE_MARGIN.min(links.idle / 2)
+}
+
 /// Nothing has come on an idle connection: neither its end nor bytes that belong to no request.
 pub fn stands(stream: &TcpStream) -> bool {
     let come = SockRef::from(stream).recv_with_flags(&mut [MaybeUninit::uninit()], PEEK_AT_ONCE);
--- a/src/net/wiring.rs
+++ b/src/net/wiring.rs
@@ -13,7 +13,7 @@
 use crate::handover::message::{Body, Given};
 use crate::handover::{Beside, Limiting};
 use crate::interface::{Scope, ServerId};
-use crate::limiter::{Answer, AttemptId, Clock, Core, Edges, Input, Order};
+use crate::limiter::{Answer, AttemptId, Clock, Core, Edges, Input, Order, Wait};
 use crossbeam_channel::{bounded, unbounded, Receiver, Sender};
 use slog::{info, o, warn, Logger};
 use socket2::{Domain, Socket, Type};
@@ -55,8 +55,8 @@
         client.fill(Reply::Answer(answer));
     }
 
-    fn start(&mut self, attempt: AttemptId, node: &ServerId, call: &Arc<S::Call>, ends: Instant) {
-        self.nodes.start(attempt, node, call.clone(), ends);
+    fn start(&mut self, attempt: AttemptId, node: &ServerId, call: &Arc<S::Call>, wait: Wait) {
+        self.nodes.start(attempt, node, call.clone(), wait);
     }
 
     fn cancel(&mut self, attempt: AttemptId) -> bool {
@@ -111,6 +111,8 @@
     counter: Option<CountLines>,
     fleet: Option<Fleet>,
     limiters: Arc<AtomicU32>,
+    /// The longest deadline of a request.
+    longest: Duration,
     /// Where it listens.
     pub bound: SocketAddr,
     /// Where operators call.
@@ -209,6 +211,8 @@
             Box::new(move || !front.is_empty())
         };
         let edges = Wiring { nodes: nodes.clone(), counter: counter.clone(), figures, news, agents };
+        let deadlines = common.settings.classes.iter().map(|class| class.deadline);
+        let longest = Duration::from_micros(deadlines.max().unwrap_or(0));
         let core_log = log.new(o!("part" => "core"));
         let core = Core::new(common.settings, common.seed, common.max_open, edges, clock, ready, core_log);
         Ok(Self {
@@ -222,6 +226,7 @@
             counter,
             fleet,
             limiters,
+            longest,
             bound,
             control,
         })
@@ -249,6 +254,7 @@
     /// What ends this limiter.
     pub fn stopper(&self) -> Stopper {
         let (front, queue, fleet) = (self.front.clone(), self.queue.clone(), self.fleet.clone());
+        let last = last_requests(self.longest);
         let stop = move || {
             // The others need not find out.
             fleet.iter().for_each(Fleet::leave);
@@ -256,10 +262,10 @@
             front.close_idle();
             let began = Instant::now();
             // Guards against an end under an agent that takes two seconds for its command.
-            while front.is_written_to() && began.elapsed() < LAST_COMMANDS {
+            while front.is_written_to() && began.elapsed() < LAST_COMMANDS.min(last) {
                 std::thread::sleep(STILL_WRITTEN);
             }
-            _ = queue.send(Input::Stop(began + LAST_REQUESTS));
+            _ = queue.send(Input::Stop(began + last));
         };
         Stopper(Box::new(stop))
     }
@@ -384,11 +390,19 @@
 /// Agents in the middle of a command are waited for so long, with a look at them now and then.
 const LAST_COMMANDS: Duration = Duration::from_secs(2);
 const STILL_WRITTEN: Duration = Duration::from_millis(50);
-/// What was taken by then is answered within its deadline, and all before the limiter is killed: no earlier
-/// than 3.7 s after the word to stop where deadlines are longest.
-const LAST_REQUESTS: Duration = Duration::from_millis(2_900);
+/// A limiter is killed this long after the word to stop and the longest deadline, which counts as so much at the most.
+const KILLED: Duration = Duration::from_millis(700);
+const LONGEST_COUNTED: Duration = Duration::from_secs(3);
 const LAST_ANSWERS: Duration = Duration::from_millis(150);
 
+/// How long requests go on once idle connections are closed, where this is the longest deadline. What was taken before is
+/// answered within its deadline, and all that agents still send before the limiter is killed.
+fn last_requests(longest: Duration) -> Duration {
+    let killed = longest.min(LONGEST_COUNTED) + KILLED;
+    // Twice, as answers are written by a part of a processor.
+    killed.saturating_sub(STILL_COMING + LAST_ANSWERS * 2)
+}
+
 /// Ends a limiter from outside.
 pub struct Stopper(Box<dyn FnOnce() + Send>);
 
@@ -399,3 +413,19 @@
         (self.0)();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn all_is_answered_before_the_limiter_is_killed_whatever_the_deadlines() {
+        for longest in [50, 400, 900, 2_000, 3_000, 5_000, 20_000].map(Duration::from_millis) {
+            let counted = longest.min(LONGEST_COUNTED);
+            let ends = STILL_COMING + last_requests(longest) + LAST_ANSWERS;
+            assert!(ends < counted + KILLED, "{longest:?}: {ends:?}");
+            // And no sooner than what came just after the word to stop is owed its answer.
+            assert!(ends >= counted + LAST_ANSWERS, "{longest:?}: {ends:?}");
+        }
+    }
+}
--- a/src/openapi/mod.rs
+++ b/src/openapi/mod.rs
@@ -16,6 +16,7 @@
 use node_calls::HttpSpeech;
 use slog::{info, o, warn, Logger};
 use std::io;
+use std::time::Duration;
 
 /// Starts a limiter with an OpenAPI front, all but its core. The second is what a new file is given to: it may move
 /// ticket nodes and store; all else waits for the next start.
@@ -24,11 +25,12 @@
         warn!(log, "operation never repeated, as it does not say whether it may be"; "operation" => operation);
     }
     let store = config.store;
+    let wait = Duration::from_micros(config.common.settings.counter_timeout);
     let counter_log = log.new(o!("part" => "counter"));
     let counter = |counted| match store {
         Store::None => Ok(None),
-        Store::Redis(at) => CountLines::start(at, RedisCounter, counted, &counter_log).map(Some),
-        Store::QuotaCounter(at) => CountLines::start(at, QuotaCounter, counted, &counter_log).map(Some),
+        Store::Redis(at) => CountLines::start(at, wait, RedisCounter, counted, &counter_log).map(Some),
+        Store::QuotaCounter(at) => CountLines::start(at, wait, QuotaCounter, counted, &counter_log).map(Some),
     };
     let agents = HttpAgents::new(config.description, config.account_header, config.accounts);
     let limiter = Limiter::start(config.common, agents, HttpSpeech, counter, log)?;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -378,9 +378,7 @@
 
     /// The one place that sends. The guards are in `may_send`; nothing else emits `Send`.
     fn send(&mut self, now: Micros, id: &RequestId, server: ServerId, act: &mut Vec<Action>) -> bool {
-        if !self.may_send(now, id, &server) {
-            return false;
-        }
+        let Some(by) = self.may_send(now, id, &server) else { return false };
         let cold_store = self.servers.get(&server).map_or(0.0, |s| self.cold_store(now, s) - 1.0);
         let (Some(held), Some(target)) = (self.held.get_mut(id), self.servers.get_mut(&server)) else {
             return false;
@@ -411,42 +409,44 @@
         held.attempts.push(Attempt { server: server.clone(), sent: now, outcome: None, overdue: false });
         self.out += 1;
         self.sends += 1.0;
-        act.push(Action::Send { id: id.clone(), server, timeout: until.saturating_sub(now).max(1) });
+        act.push(Action::Send { id: id.clone(), server, timeout: until.saturating_sub(now).max(1), by });
         true
     }
 
-    /// All guards of a send.
-    fn may_send(&self, now: Micros, id: &RequestId, server: &ServerId) -> bool {
-        let (Some(held), Some(target)) = (self.held.get(id), self.servers.get(server)) else { return false };
+    /// All guards of a send, and the moment by which it is to be written.
+    fn may_send(&self, now: Micros, id: &RequestId, server: &ServerId) -> Option<Micros> {
+        let (held, target) = (self.held.get(id)?, self.servers.get(server)?);
+        let by = self.repeat_by(held, target);
         // Drains: nothing new from the moment of the news, well before the grace is up.
-        target.ready
+        let may = target.ready
             && !held.streaming
             && held.deadline > now
             && held.attempts.len() < self.cfg.limits.max_attempts.max(1) as usize
             && (self.cfg.limits.second_copies || !held.is_out())
             && !held.attempts.iter().any(|a| a.outcome.is_none() && a.server == *server)
-            && self.may_repeat(now, held, target)
+            && by > now
             && self.cold_store(now, target) >= 1.0
-            && (!held.attempts.is_empty() || self.under_ceiling(now, &held.request))
+            && (!held.attempts.is_empty() || self.under_ceiling(now, &held.request));
+        may.then_some(by)
     }
 
-    /// No effect twice: what may have run goes only where its class permits a repeat.
-    fn may_repeat(&self, now: Micros, held: &Held, target: &Server) -> bool {
+    /// No effect twice: what may have run goes only where its class permits a repeat, and is written before this.
+    fn repeat_by(&self, held: &Held, target: &Server) -> Micros {
         let class = &self.cfg.classes[held.request.class];
-        let mut maybe = held.attempts.iter().filter(|a| a.may_have_run());
-        match class.effect {
-            Effect::Safe => true,
-            Effect::Unsafe => maybe.next().is_none(),
-            // A tenth of the window is left for the way and the connection.
-            Effect::Keyed(group) => maybe.all(|a| {
-                now + class.window / 10 < a.sent + class.window
-                    && self.servers.get(&a.server).is_some_and(|s| match group {
-                        Group::All => true,
-                        Group::Zone => s.zone == target.zone,
-                        Group::Cell => s.cell == target.cell && s.zone == target.zone,
-                    })
-            }),
-        }
+        let by = |a: &Attempt| match class.effect {
+            Effect::Safe => Micros::MAX,
+            Effect::Unsafe => 0,
+            Effect::Keyed(group) => {
+                let same = self.servers.get(&a.server).is_some_and(|s| match group {
+                    Group::All => true,
+                    Group::Zone => s.zone == target.zone,
+                    Group::Cell => s.cell == target.cell && s.zone == target.zone,
+                });
+                // A tenth of the window is left for the way.
+                a.sent + if same { class.window - class.window / 10 } else { 0 }
+            }
+        };
+        held.attempts.iter().filter(|a| a.may_have_run()).map(by).min().unwrap_or(Micros::MAX)
     }
 
     /// Slow start: a cold server gets its part of what this gateway sends a warm one, from a store that opens
@@ -496,7 +496,7 @@
         let pace = self.mean_pace();
         let mut best: Option<(f64, ServerId)> = None;
         for (name, server) in &self.servers {
-            if !self.may_send(now, id, name) {
+            if self.may_send(now, id, name).is_none() {
                 continue;
             }
             let cross =
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -375,7 +375,7 @@
 /// Writes one action of an instance as a line.
 pub fn write(instance: u64, action: &Action) -> String {
     match action {
-        Action::Send { id, server, timeout } => {
+        Action::Send { id, server, timeout, .. } => {
             json!(["submitTo", instance, &*id.0, timeout, &*server.0])
         }
         Action::Cancel { id, attempt } => json!(["dropAttempt", instance, &*id.0, attempt]),
