Node list: after the word to stop it waits between two calls like before

Seen: the new story on watches that are reset took 0.03 s for 24 calls, 0.4 ms apart (times of the calls logged in the test). Ruled out: the waits themselves (their unit test). At fault: the wait between calls is one for word of another list, which ends at once when nobody can send it any more. After SIGTERM the thread of signals drops what holds the sender, so a limiter whose watch broke then asked thousands of times a second for up to 3.4 s, with the processor time that its last answers need.

The follower keeps a sender itself. Settings without a drain grace had no wait either; it is 20 ms at the most there.

--- a/src/net/node_list.rs
+++ b/src/net/node_list.rs
@@ -58,13 +58,14 @@
 ) -> io::Result<Watch> {
     let (moved, moves) = unbounded();
     let rng = fastrand::Rng::with_seed(seed);
-    let watch = Watch { moved, current: Arc::default() };
+    let watch = Watch { moved: moved.clone(), current: Arc::default() };
     let current = watch.current.clone();
-    let first = grace.mul_f64(FIRST_PART);
+    let first = grace.mul_f64(FIRST_PART).max(TURN);
     let mut follower = Follower {
         from,
         generation: Some(generation),
         moves,
+        _mover: moved,
         current,
         limiters,
         first,
@@ -116,6 +117,8 @@
     /// The version last told of; none where the list has to be read whole.
     generation: Option<u64>,
     moves: Receiver<SocketAddr>,
+    /// Kept, as no wait ends early then: after the word to stop nobody else has one.
+    _mover: Sender<SocketAddr>,
     current: Arc<Mutex<Option<TcpStream>>>,
     /// Limiters that ask beside this one, and this one.
     limiters: Arc<AtomicU32>,
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -548,9 +548,10 @@
 
 #[test]
 fn a_call_that_is_waited_for_longer_than_usual_does_not_lose_its_line() {
-    let gate = Gate::default();
-    let own = gate.clone();
+    let (gate, (come, called)) = (Gate::default(), channel());
+    let (own, come) = (gate.clone(), Mutex::new(come));
     let counter = http_peer(move |first, _, _| {
+        _ = come.lock().expect("whole").send(());
         own.pass();
         answer("200 OK", &counted(first).1.to_string())
     });
@@ -563,6 +564,7 @@
     let lines = CountLines::start(counter, Duration::from_secs(20), QuotaCounter, ends, &log).expect("lines");
     let add = |call| lines.add(Addition { call, name: 4, by: call as f64, ttl: Duration::from_secs(4) });
     add(1);
+    called.recv().expect("a call");
     // Where calls are given up after 50 ms, so old a one holds up all behind it.
     thread::sleep(Duration::from_millis(400));
     add(2);
@@ -573,6 +575,29 @@
 
 // ---- the end ----
 
+#[test]
+fn told_to_stop_while_its_list_resets_each_watch_it_asks_no_more_often() {
+    let (tell, asked) = channel();
+    let tell = Mutex::new(tell);
+    let list = peer(move |_, stream| {
+        _ = tell.lock().expect("whole").send(());
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("a socket");
+    });
+    let (node, seen) = resp_peer(|_, _| Act::Hang);
+    let mut told = settings(list, quota_counter().0, &[("s-1", node)]);
+    told["settings"]["safety"]["drainGrace"] = 1_000_000.into();
+    let program = Program::start("list-resets", &told);
+    let mut held = Agent::ready_at(program.at);
+    held.ask("pay", "held", 2000);
+    next(&seen);
+    program.signal("TERM");
+    assert!(held.answer().starts_with('-'));
+    program.ends();
+    // A tenth of 20 ms passes between two at the least; at once after each other they were thousands.
+    let many = asked.try_iter().count();
+    assert!(many < 500, "{many} calls");
+}
+
 #[test]
 fn told_to_stop_while_every_node_hangs_each_request_has_its_one_answer() {
     let (node, seen) = resp_peer(|_, _| Act::Hang);
