--- a/src/limiter/mod.rs
+++ b/src/limiter/mod.rs
@@ -360,11 +360,8 @@
                 }
             }
             Input::Request(incoming) => self.admit(now, incoming),
-            Input::Left(mut numbers) => {
-                // First what waits: it would take the place that another leaves.
-                let out: HashSet<u64> = self.out.keys().map(|attempt| attempt.request).collect();
-                numbers.sort_by_key(|number| out.contains(number));
-                for number in numbers {
+            Input::Left(numbers) => {
+                for number in self.waiting_first(numbers) {
                     if let Some(open) = self.close(number) {
                         self.tell(now, Event::Gone { id: open.id });
                     }
@@ -549,11 +546,18 @@
                 if !open.is_empty() {
                     warn!(self.log, "out of time to stop"; "open" => open.len());
                 }
-                open.into_iter().for_each(|number| self.overdue(now, number));
+                self.waiting_first(open).into_iter().for_each(|number| self.overdue(now, number));
             }
         }
     }
 
+    /// The order in which requests end together: what waits would be sent on in the place that another leaves.
+    fn waiting_first(&self, mut numbers: Vec<u64>) -> Vec<u64> {
+        let out: HashSet<u64> = self.out.keys().map(|attempt| attempt.request).collect();
+        numbers.sort_by_key(|number| out.contains(number));
+        numbers
+    }
+
     /// Guards against a module that says nothing: the agent gets its answer at its deadline all the same.
     fn overdue(&mut self, now: Micros, number: u64) {
         let Some(open) = self.close(number) else { return };
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -323,7 +323,9 @@
 
     /// Passes a request to the core.
     pub fn ask(&self, request: Incoming<Wiring<M::Speech>>) {
-        lock(&self.link.state).waiting.push(request.number);
+        // Under one lock: told between the two that its agent has left, the core would not know the request.
+        let mut state = lock(&self.link.state);
+        state.waiting.push(request.number);
         _ = self.front.queue.send(Input::Request(request));
     }
 
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -273,8 +273,12 @@
                     }
                     if size == 0 {
                         // Trailers, if any, up to an empty line.
-                        while !self.line()?.is_empty() {}
-                        return Ok(false);
+                        for _ in 0..=HEADERS {
+                            if self.line()?.is_empty() {
+                                return Ok(false);
+                            }
+                        }
+                        return Err(Broken::TooLarge);
                     }
                     self.take(size as usize, to)?;
                     return match self.line()?.is_empty() {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -130,6 +130,18 @@
     assert_eq!(told.recv(), Ok((3, "Refused { after: 400ms, late: false }".into())));
 }
 
+#[test]
+fn out_of_time_to_stop_nothing_that_waits_is_sent_on() {
+    let (queue, told, attempts) = core(20, (1..=21).map(request).collect());
+    // The last finds no room, and those before it are open.
+    assert_eq!(told.recv().map(|(number, _)| number), Ok(21));
+    let out = attempts.try_iter().count();
+    assert!(out > 0 && out < 20, "{out} are out, the others wait");
+    _ = queue.send(Input::Stop(Instant::now()));
+    assert_eq!(told.iter().count(), 20);
+    assert_eq!(attempts.iter().count(), 0);
+}
+
 #[test]
 fn a_thread_that_has_done_its_work_is_used_again() {
     // A thread for each connection, started and ended, took most of a small limiter's time.
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -4,6 +4,7 @@
 mod peers;
 
 use mossrill::net::count_lines::{Addition, CountLines};
+use mossrill::net::http::{Body, Broken, Reader};
 use mossrill::net::quota_counter::QuotaCounter;
 use peers::*;
 use serde_json::Value;
@@ -544,6 +545,13 @@
     assert_eq!(after.collect::<Vec<_>>(), Vec::<String>::new());
 }
 
+#[test]
+fn a_body_whose_trailers_never_end_is_none() {
+    let text = "0\r\n".to_owned() + &"x: y\r\n".repeat(100_000);
+    let body = Reader::new(text.as_bytes()).body(Body::Chunked, 1_024);
+    assert!(matches!(body, Err(Broken::TooLarge)), "{body:?}");
+}
+
 // ---- the counter ----
 
 #[test]
