--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -160,6 +160,41 @@
     });
 }
 
+#[test]
+fn nor_is_one_that_came_over_http() {
+    let (gate, (tell, seen)) = (Gate::default(), channel());
+    let (own, tell) = (gate.clone(), Mutex::new(tell));
+    let node = http_peer(move |first, _, _| {
+        _ = tell.lock().expect("whole").send(first.split(' ').nth(1).unwrap_or_default().to_owned());
+        if first.contains("reports") {
+            own.pass();
+        }
+        answer("200 OK", "{}")
+    });
+    let mut file: Value = serde_json::from_str(include_str!("../deploy/openapi.json")).expect("JSON");
+    (file["listen"], file["control"]) = ("127.0.0.1:0".into(), "127.0.0.1:0".into());
+    (file["store"], file["ticket_nodes"]) =
+        (serde_json::json!({}), serde_json::json!([{"name": "node-0", "address": node.to_string()}]));
+    let limiter = openapi_limiter(&file, include_str!("../deploy/ferry.openapi.json"));
+    let ask = |line: &str| {
+        let mut agent = Agent::connect(&limiter);
+        agent.say(&format!(
+            "{line} HTTP/1.1\r\nHost: x\r\nX-Agent-Account: agen-utama\r\nContent-Length: 0\r\n\r\n"
+        ));
+        agent
+    };
+    let mut first = ask("GET /v1/reports/daily");
+    assert_eq!(seen.recv().expect("a request"), "/v1/reports/daily");
+    let left = ask("POST /v1/tickets");
+    in_flight(&limiter, 2);
+    drop(left);
+    in_flight(&limiter, 1);
+    gate.open();
+    assert_eq!(first.line(), "HTTP/1.1 200 OK");
+    assert_eq!(ask("GET /v1/sailings/KMP-7/seats").line(), "HTTP/1.1 200 OK");
+    assert_eq!(seen.try_iter().collect::<Vec<_>>(), ["/v1/sailings/KMP-7/seats"]);
+}
+
 #[test]
 fn requests_behind_one_that_a_node_holds_are_not_sent_on_once_their_agent_left() {
     let (node, gate, seen) = gated("held");
