--- a/src/policy.rs
+++ b/src/policy.rs
@@ -430,7 +430,7 @@
         may.then_some(by)
     }
 
-    /// No effect twice: what may have run goes only where its class permits a repeat, and is written before this.
+    /// No effect twice: what may have run goes only where its class permits a repeat, written by this time.
     fn repeat_by(&self, held: &Held, target: &Server) -> Micros {
         let class = &self.cfg.classes[held.request.class];
         let by = |a: &Attempt| match class.effect {
