--- a/src/net/node_list.rs
+++ b/src/net/node_list.rs
@@ -117,7 +117,7 @@
     /// The version last told of; none where the list has to be read whole.
     generation: Option<u64>,
     moves: Receiver<SocketAddr>,
-    /// Kept, as no wait ends early then: after the word to stop nobody else has one.
+    /// Keeps `moves` open: closed, as after the word to stop nobody else has a sender, it would end each wait at once.
     _mover: Sender<SocketAddr>,
     current: Arc<Mutex<Option<TcpStream>>>,
     /// Limiters that ask beside this one, and this one.
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -232,8 +232,7 @@
     told["settings"]["specifics"]["counterTimeout"] = 20_000_000.into();
     let limiter = limiter(&told);
     let mut agent = Agent::ready(&limiter);
-    let account = "00000000b4d65521";
-    agent.say(&asking_for(account, 2, "pay", "left", 20_000));
+    agent.say(&asking_for("00000000b4d65521", 2, "pay", "left", 20_000));
     called.recv().expect("a call");
     in_flight(&limiter, 1);
     drop(agent);
@@ -278,13 +277,9 @@
 
 // ---- nodes ----
 
-/// Takes a payment or a hold to a node that answers with an error once it drains and another is there, which is shut: the
+/// Takes a hold to a node that answers with an error once it drains and another is there, which is shut: the
 /// repeat, if there is one, waits for its connection. What the agent gets, and what comes to the other once `then` is done.
-fn repeated_at_a_shut_node(
-    class: &str,
-    window: Duration,
-    then: impl FnOnce(Agent) -> Option<Agent>,
-) -> (String, Vec<u8>) {
+fn repeated_at_a_shut_node(window: Duration, then: impl FnOnce(Agent) -> Option<Agent>) -> (String, Vec<u8>) {
     let (gate, drained) = (Gate::default(), Gate::default());
     let own = gate.clone();
     let (node, seen) = resp_peer(move |_, _| {
@@ -308,7 +303,7 @@
     told["settings"]["classes"][1]["memorySpan"] = (window.as_micros() as u64).into();
     let limiter = limiter(&told);
     let mut agent = Agent::ready(&limiter);
-    agent.ask(class, "id-1", 20_000);
+    agent.ask("hold", "id-1", 20_000);
     next(&seen);
     drained.open();
     let stat = || call(limiter.control.expect("a line"), "show-stat\n");
@@ -324,7 +319,7 @@
 #[test]
 fn a_repeat_whose_connection_comes_up_after_its_window_is_not_written() {
     let window = Duration::from_secs(3);
-    let late = repeated_at_a_shut_node("hold", window, |agent| {
+    let late = repeated_at_a_shut_node(window, |agent| {
         thread::sleep(window);
         Some(agent)
     });
@@ -333,7 +328,7 @@
 
 #[test]
 fn a_repeat_whose_agent_left_before_its_connection_came_up_is_not_written() {
-    let left = repeated_at_a_shut_node("hold", Duration::from_secs(20), |agent| {
+    let left = repeated_at_a_shut_node(Duration::from_secs(20), |agent| {
         drop(agent);
         thread::sleep(FOUND_OUT);
         None
@@ -361,12 +356,12 @@
     let node = peer(move |_, mut stream| {
         let mut bytes = Vec::new();
         while let Some(words) = command(&mut stream, &mut bytes) {
-            let (class, id) = (words[3].split(',').next().unwrap_or_default().to_owned(), words[2].clone());
-            let first = tell.lock().expect("whole").send(id.clone()).is_ok() && !id.ends_with("again");
+            let id = words[2].clone();
+            _ = tell.lock().expect("whole").send(id.clone());
             let Act::Say(text) = serve(&id) else { unreachable!("it serves") };
             match id.split('-').next() {
-                Some("at") if first && class != "c=look" => return reset(&stream),
-                Some("half") if class != "c=look" => {
+                Some("at") => return reset(&stream),
+                Some("half") => {
                     stream.write_all(&text.as_bytes()[..text.len() / 2]).expect("written");
                     return reset(&stream);
                 }
