--- a/Makefile
+++ b/Makefile
@@ -7,14 +7,15 @@
 	cargo build --locked --release
 
 lint:
-	cargo fmt --check
-	cargo clippy --locked --all-targets -- -D warnings
+	cargo fmt --all --check
+	cargo clippy --locked --workspace --all-targets -- -D warnings
 
 # Known to fail for a real fault, each with its cause and issue; .ci/run looks that they still do.
 RED = $(shell cut -d, -f1 KNOWN-RED.txt 2>/dev/null)
 
 test: lint build
 	cargo test --locked $(if $(RED),-- --exact $(addprefix --skip ,$(RED)))
+	cargo test --locked -p mossrill-lab
 
 # Needs the platform's variables: EDGE_CONFIG names the configuration.
 run: build
--- /dev/null
+++ b/lab/src/audit.rs
@@ -0,0 +1,64 @@
+//! What goes beyond quotas: units sent on per tenant, summed over all limiters, against `rate * t + burst`.
+
+use crate::population::{Plan, Population};
+use std::collections::HashMap;
+
+/// Microseconds of a second.
+const SECOND: f64 = 1e6;
+
+/// A bucket that watches one tenant; what it does not hold was beyond the quota.
+struct Bucket {
+    level: f64,
+    filled: u64,
+}
+
+/// The sums of all tenants.
+#[derive(Default)]
+pub struct QuotaAudit {
+    buckets: HashMap<usize, Bucket>,
+    beyond: HashMap<usize, f64>,
+    sent: f64,
+}
+
+/// What an audit found.
+#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+pub struct AuditResult {
+    /// Units sent on.
+    pub sent_units: f64,
+    /// Units beyond `rate * t + burst`, whatever the interval.
+    pub beyond_units: f64,
+    /// The same as a share of what was sent on.
+    pub beyond_share: f64,
+    /// Tenants with any.
+    pub tenants_beyond: usize,
+    /// The most of any tenant, in buckets of its plan.
+    pub worst_in_bursts: f64,
+}
+
+impl QuotaAudit {
+    /// Takes units that were sent on. Times are in µs and must not go back for a tenant.
+    pub fn sent(&mut self, at: u64, tenant: usize, units: f64, plan: Plan) {
+        let bucket = self.buckets.entry(tenant).or_insert(Bucket { level: plan.burst, filled: at });
+        let span = at.saturating_sub(bucket.filled) as f64 / SECOND;
+        bucket.filled = at.max(bucket.filled);
+        bucket.level = (bucket.level + plan.rate * span).min(plan.burst) - units;
+        self.sent += units;
+        if bucket.level < 0.0 {
+            *self.beyond.entry(tenant).or_default() -= bucket.level;
+            bucket.level = 0.0;
+        }
+    }
+
+    /// What was found.
+    pub fn result(&self, population: &Population) -> AuditResult {
+        let beyond: f64 = self.beyond.values().sum();
+        let in_bursts = |(tenant, units): (&usize, &f64)| units / population.plan(*tenant).burst;
+        AuditResult {
+            sent_units: self.sent,
+            beyond_units: beyond,
+            beyond_share: if self.sent > 0.0 { beyond / self.sent } else { 0.0 },
+            tenants_beyond: self.beyond.len(),
+            worst_in_bursts: self.beyond.iter().map(in_bursts).fold(0.0, f64::max),
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/child.rs
@@ -0,0 +1,75 @@
+//! Child processes of a run: each is this program again under a hidden command.
+
+use crate::messages::{Command, Reply, Start};
+use crossbeam_channel::{unbounded, Receiver};
+use std::io::{BufRead, BufReader, Write};
+use std::process::{Child as Process, ChildStdin, Stdio};
+use std::time::Duration;
+
+/// The hidden command that makes this program a child.
+pub const CHILD_COMMAND: &str = "child";
+
+/// A child process; it ends with this value.
+pub struct Child {
+    process: Process,
+    input: ChildStdin,
+    replies: Receiver<Reply>,
+    name: String,
+}
+
+impl Child {
+    /// Starts a child.
+    pub fn start(name: &str, start: &Start) -> Result<Self, String> {
+        let program = std::env::current_exe().map_err(|fault| fault.to_string())?;
+        let mut process = std::process::Command::new(program)
+            .arg(CHILD_COMMAND)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .map_err(|fault| format!("{name}: {fault}"))?;
+        let (Some(input), Some(output)) = (process.stdin.take(), process.stdout.take()) else {
+            return Err(format!("{name}: no pipes"));
+        };
+        let (told, replies) = unbounded();
+        std::thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                let Ok(reply) = serde_json::from_str(&line) else { return };
+                if told.send(reply).is_err() {
+                    return;
+                }
+            }
+        });
+        let mut child = Self { process, input, replies, name: name.to_owned() };
+        child.write(start)?;
+        Ok(child)
+    }
+
+    /// Its process number.
+    pub fn id(&self) -> u32 {
+        self.process.id()
+    }
+
+    /// Tells it something.
+    pub fn tell(&mut self, command: &Command) -> Result<(), String> {
+        self.write(command)
+    }
+
+    fn write(&mut self, value: &impl serde::Serialize) -> Result<(), String> {
+        let line = serde_json::to_string(value).map_err(|fault| fault.to_string())?;
+        let written = writeln!(self.input, "{line}").and_then(|()| self.input.flush());
+        written.map_err(|fault| format!("{}: {fault}", self.name))
+    }
+
+    /// Its next reply.
+    pub fn reply(&self, within: Duration) -> Result<Reply, String> {
+        self.replies.recv_timeout(within).map_err(|fault| format!("{}: no reply: {fault}", self.name))
+    }
+}
+
+impl Drop for Child {
+    fn drop(&mut self) {
+        // It may have ended of itself.
+        _ = self.process.kill();
+        _ = self.process.wait();
+    }
+}
--- /dev/null
+++ b/lab/src/counter.rs
@@ -0,0 +1,96 @@
+//! Stand-in for the platform's quota counter: named counts over HTTP/1.1, counted by zone.
+
+use crate::messages::{Command, Reply};
+use crate::stand_in::{self, ZoneCounters};
+use mossrill::net::http::{Broken, Reader};
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// A connection of a zone that is cut off looks so often whether it is back.
+const SILENT_POLL: Duration = Duration::from_millis(20);
+/// Shards of the table, so that connections do not wait for each other.
+const SHARDS: usize = 64;
+
+type Shard = Mutex<HashMap<u64, f64>>;
+
+/// Counts by name. Names live for as long as a run.
+#[derive(Default)]
+pub struct Counts {
+    shards: Vec<Shard>,
+}
+
+impl Counts {
+    /// No count yet.
+    pub fn new() -> Self {
+        Self { shards: (0..SHARDS).map(|_| Shard::default()).collect() }
+    }
+
+    /// Adds to a count and returns its total.
+    pub fn add(&self, name: u64, by: f64) -> f64 {
+        let shard = &self.shards[name as usize % SHARDS];
+        let mut shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+        let total = shard.entry(name).or_default();
+        *total += by;
+        *total
+    }
+}
+
+/// The answer to a call.
+pub fn answer(total: f64) -> String {
+    let body = total.to_string();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Serves until it is told to finish.
+pub fn run(zones: u32) -> Result<(), String> {
+    let zones: Vec<Arc<ZoneCounters>> = (0..zones).map(|_| Arc::default()).collect();
+    let counts = Arc::new(Counts::new());
+    let ports = stand_in::listen(&zones, move |stream, zone: &ZoneCounters| {
+        // A connection that ends is the caller's to open again.
+        _ = serve(&counts, &stream, zone);
+    });
+    stand_in::reply(&Reply::Ready(ports.map_err(|fault| fault.to_string())?))?;
+    for command in stand_in::commands() {
+        match command {
+            Command::Cut { zones: cut, silent } => {
+                cut.iter().filter_map(|zone| zones.get(*zone as usize)).for_each(|z| z.set_silent(silent));
+            }
+            Command::Report => stand_in::reply(&load(&zones))?,
+            Command::Finish => break,
+            _ => {}
+        }
+    }
+    stand_in::reply(&load(&zones))
+}
+
+fn load(zones: &[Arc<ZoneCounters>]) -> Reply {
+    Reply::Load(zones.iter().map(|zone| zone.load()).collect())
+}
+
+fn serve(counts: &Counts, mut stream: &TcpStream, zone: &ZoneCounters) -> Result<(), Broken> {
+    let mut reader = Reader::new(stream);
+    loop {
+        let ask = reader.request()?;
+        let headers: usize = ask.headers.iter().map(|(name, value)| name.len() + value.len() + 4).sum();
+        zone.call(ask.method.len() + ask.target.len() + 12 + headers + 2);
+        while zone.is_silent() {
+            std::thread::sleep(SILENT_POLL);
+        }
+        let text = match addition(&ask.target) {
+            Some((name, by)) => answer(counts.add(name, by)),
+            None => "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n".to_owned(),
+        };
+        zone.answer(text.len());
+        stream.write_all(text.as_bytes())?;
+    }
+}
+
+/// Name and amount of a call.
+fn addition(target: &str) -> Option<(u64, f64)> {
+    let (name, query) = target.strip_prefix("/v1/count/")?.split_once('?')?;
+    let by = query.split('&').find_map(|pair| pair.strip_prefix("add="))?;
+    Some((name.parse().ok()?, by.parse().ok()?))
+}
--- /dev/null
+++ b/lab/src/hollow_play.rs
@@ -0,0 +1,450 @@
+//! Plays the hollow limiters of a scenario in real time: stand-ins, one process for each zone, and the events.
+
+use crate::audit::QuotaAudit;
+use crate::child::Child;
+use crate::clock;
+use crate::messages::{
+    Command, DecisionCounts, HollowReport, HollowStart, QuotaOutcome, Reply, Start, TenantUnits, ZoneLoad,
+};
+use crate::population::Population;
+use crate::scenario::{Event, Scenario};
+use crate::summary::Summary;
+use serde::Serialize;
+use std::time::{Duration, Instant};
+
+/// A child that says nothing for so long is lost.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// All limiters have the first list by then, or the run is marked.
+const FIRST_LIST_SECONDS: u32 = 300;
+/// All limiters have the last change by then, or it counts as missing.
+const LAST_CHANGE_SECONDS: u32 = 60;
+/// A process that is woken later than this, for one tick in a hundred, does not keep up.
+const LATE_MS: f64 = 50.0;
+const SECOND: f64 = 1e6;
+
+/// What the play of the hollow limiters showed. Rates are those of the time in which the events were played.
+#[derive(Debug, Serialize)]
+pub struct HollowResult {
+    /// Limiters.
+    pub limiters: u32,
+    /// Processes that hosted them.
+    pub processes: u32,
+    /// Seconds from a limiter's start to its first whole list.
+    pub first_list_s: Summary,
+    /// Bytes of the whole list.
+    pub whole_list_bytes: usize,
+    /// By change of the list: time until limiters had it.
+    pub changes: Vec<ChangeResult>,
+    /// Changes that some limiter did not have at the end, summed over limiters.
+    pub changes_missing: u32,
+    /// Processor time as a part of a core for each limiter.
+    pub cpu_cores_per_limiter: f64,
+    /// Processor time of a limiter's start and first list, in seconds.
+    pub start_cpu_s_per_limiter: f64,
+    /// Resident memory for each limiter in bytes.
+    pub memory_bytes_per_limiter: f64,
+    /// What discovery carried.
+    pub discovery: StandInResult,
+    /// What the counter carried, if it was called.
+    pub counter: Option<StandInResult>,
+    /// Decisions, and what went beyond quotas, if requests were decided.
+    pub quota: Option<QuotaOutcome>,
+    /// Events that were played.
+    pub events: Vec<&'static str>,
+    /// Why the machine did not keep up; empty if it did.
+    pub fell_behind: Vec<String>,
+}
+
+/// One change of the list.
+#[derive(Debug, Serialize)]
+pub struct ChangeResult {
+    /// What made it.
+    pub event: &'static str,
+    /// Its version.
+    pub generation: u64,
+    /// Bytes of its text.
+    pub bytes: usize,
+    /// Limiters that ran throughout.
+    pub limiters: usize,
+    /// Those that never had it.
+    pub missing: usize,
+    /// Seconds until limiters had it.
+    pub delay_s: Summary,
+}
+
+/// What a stand-in carried while the events were played.
+#[derive(Debug, Serialize)]
+pub struct StandInResult {
+    /// Calls a second.
+    pub calls_per_s: f64,
+    /// Bytes a second, both ways.
+    pub bytes_per_s: f64,
+    /// Calls a limiter and second.
+    pub calls_per_limiter_s: f64,
+    /// Bytes a limiter and second, both ways.
+    pub bytes_per_limiter_s: f64,
+    /// The most of any zone's limiters, in bytes a limiter and second.
+    pub bytes_per_limiter_s_worst_zone: f64,
+    /// Calls from the start to the very end.
+    pub calls: u64,
+    /// Whole lists sent.
+    pub whole_lists: u64,
+    /// Connections taken.
+    pub connections: u64,
+}
+
+/// A zone's process.
+struct Host {
+    zone: u32,
+    started: u64,
+    child: Child,
+}
+
+/// What a zone's process reported when it ended.
+struct Ended {
+    started: u64,
+    /// It ran to the end of the play.
+    to_the_end: bool,
+    report: HollowReport,
+}
+
+struct Change {
+    event: &'static str,
+    generation: u64,
+    at: u64,
+    bytes: usize,
+}
+
+/// What discovery and counter carried, by zone.
+type Loads = (Vec<ZoneLoad>, Option<Vec<ZoneLoad>>);
+
+struct Play<'a> {
+    scenario: &'a Scenario,
+    seed: u64,
+    discovery: Child,
+    discovery_ports: Vec<u16>,
+    counter: Option<(Child, Vec<u16>)>,
+    hosts: Vec<Host>,
+    ended: Vec<Ended>,
+    changes: Vec<Change>,
+    events: Vec<&'static str>,
+}
+
+/// Plays the hollow limiters of a scenario.
+pub fn play(scenario: &Scenario, seed: u64) -> Result<HollowResult, String> {
+    let mut play = Play::start(scenario, seed)?;
+    let mut fell_behind = Vec::new();
+    let lacking = play.await_version(1, FIRST_LIST_SECONDS)?;
+    if lacking > 0 {
+        fell_behind.push(format!("{lacking} limiters without a list after {FIRST_LIST_SECONDS} s"));
+    }
+    let before = play.loads()?;
+    play.tell_hosts(&Command::Begin)?;
+    let began = Instant::now();
+    for timed in &scenario.events {
+        sleep_until(began + Duration::from_secs_f64(timed.at_s));
+        play.happen(&timed.event)?;
+    }
+    sleep_until(began + Duration::from_secs(u64::from(scenario.duration_s)));
+    let last = play.changes.last().map_or(1, |change| change.generation);
+    play.await_version(last, LAST_CHANGE_SECONDS)?;
+    let elapsed = began.elapsed().as_secs_f64();
+    let after = play.loads()?;
+    play.finish()?;
+    let total = play.loads()?;
+    Ok(play.result([&before, &after, &total], elapsed, fell_behind))
+}
+
+fn sleep_until(at: Instant) {
+    std::thread::sleep(at.saturating_duration_since(Instant::now()));
+}
+
+fn ready(child: &Child) -> Result<Vec<u16>, String> {
+    match child.reply(PATIENCE)? {
+        Reply::Ready(ports) => Ok(ports),
+        other => Err(format!("wanted ports, got {other:?}")),
+    }
+}
+
+impl<'a> Play<'a> {
+    fn start(scenario: &'a Scenario, seed: u64) -> Result<Self, String> {
+        let start = Start::Discovery { scenario: Box::new(scenario.clone()), seed };
+        let discovery = Child::start("discovery", &start)?;
+        let discovery_ports = ready(&discovery)?;
+        let counted = scenario.hollow.as_ref().is_some_and(|hollow| hollow.counter);
+        let counter = match counted {
+            true => {
+                let child = Child::start("counter", &Start::Counter { zones: scenario.sizes.zones })?;
+                let ports = ready(&child)?;
+                Some((child, ports))
+            }
+            false => None,
+        };
+        let (hosts, ended, changes, events) = Default::default();
+        let mut play =
+            Self { scenario, seed, discovery, discovery_ports, counter, hosts, ended, changes, events };
+        play.published("start")?;
+        for zone in 0..scenario.sizes.zones {
+            play.start_host(zone)?;
+        }
+        for host in &play.hosts {
+            ready(&host.child)?;
+        }
+        Ok(play)
+    }
+
+    fn start_host(&mut self, zone: u32) -> Result<(), String> {
+        let start = HollowStart {
+            scenario: self.scenario.clone(),
+            seed: self.seed,
+            zone,
+            discovery: self.discovery_ports[zone as usize],
+            counter: self.counter.as_ref().map(|(_, ports)| ports[zone as usize]),
+        };
+        let started = clock::now();
+        let child = Child::start(&format!("zone {zone}"), &Start::Hollow(Box::new(start)))?;
+        self.hosts.push(Host { zone, started, child });
+        Ok(())
+    }
+
+    fn published(&mut self, event: &'static str) -> Result<(), String> {
+        match self.discovery.reply(PATIENCE)? {
+            Reply::Published { generation, at, bytes } => {
+                self.changes.push(Change { event, generation, at, bytes });
+                Ok(())
+            }
+            other => Err(format!("wanted a version, got {other:?}")),
+        }
+    }
+
+    fn happen(&mut self, event: &Event) -> Result<(), String> {
+        let name = event.name();
+        match event {
+            Event::ZoneLost { zone } => {
+                self.end_hosts(|host| host.zone == *zone)?;
+                self.change_list(name, &Command::SetZone { zone: *zone, in_service: false })?;
+            }
+            Event::ZoneBack { zone } => {
+                self.change_list(name, &Command::SetZone { zone: *zone, in_service: true })?;
+                self.restart(vec![*zone])?;
+            }
+            Event::HalfRestarted => {
+                let even: Vec<u32> = (0..self.scenario.sizes.zones).step_by(2).collect();
+                self.end_hosts(|host| host.zone % 2 == 0)?;
+                self.restart(even)?;
+            }
+            Event::ListChanges { count } => self.change_list(name, &Command::ChangeList(*count))?,
+            Event::RegionCut { region } => self.cut(*region, true)?,
+            Event::RegionHealed { region } => self.cut(*region, false)?,
+            // These concern the other plays.
+            Event::ControlMachineLost { .. }
+            | Event::ControlMachineBack { .. }
+            | Event::ConfigurationChanged { .. }
+            | Event::LimiterPaused { .. } => return Ok(()),
+        }
+        self.events.push(name);
+        Ok(())
+    }
+
+    fn change_list(&mut self, event: &'static str, command: &Command) -> Result<(), String> {
+        self.discovery.tell(command)?;
+        self.published(event)
+    }
+
+    /// Starts the processes of these zones together; traffic goes on there once they are up.
+    fn restart(&mut self, zones: Vec<u32>) -> Result<(), String> {
+        let first = self.hosts.len();
+        for zone in zones {
+            self.start_host(zone)?;
+        }
+        for host in &mut self.hosts[first..] {
+            ready(&host.child)?;
+            host.child.tell(&Command::Begin)?;
+        }
+        Ok(())
+    }
+
+    fn cut(&mut self, region: u32, silent: bool) -> Result<(), String> {
+        let zones: Vec<u32> = (0..self.scenario.sizes.zones)
+            .filter(|zone| self.scenario.region_of_zone(*zone) == region)
+            .collect();
+        let command = Command::Cut { zones, silent };
+        self.discovery.tell(&command)?;
+        match &mut self.counter {
+            Some((counter, _)) => counter.tell(&command),
+            None => Ok(()),
+        }
+    }
+
+    fn tell_hosts(&mut self, command: &Command) -> Result<(), String> {
+        self.hosts.iter_mut().try_for_each(|host| host.child.tell(command))
+    }
+
+    fn await_version(&mut self, generation: u64, seconds: u32) -> Result<u32, String> {
+        self.tell_hosts(&Command::AwaitVersion { generation, seconds })?;
+        let patience = Duration::from_secs(u64::from(seconds)) + PATIENCE;
+        let mut lacking = 0;
+        for host in &self.hosts {
+            match host.child.reply(patience)? {
+                Reply::Lacking(count) => lacking += count,
+                other => return Err(format!("wanted a count of limiters, got {other:?}")),
+            }
+        }
+        Ok(lacking)
+    }
+
+    fn loads(&mut self) -> Result<Loads, String> {
+        let counter = self.counter.as_mut().map(|(counter, _)| load(counter)).transpose()?;
+        Ok((load(&mut self.discovery)?, counter))
+    }
+
+    /// Ends these processes and keeps their reports.
+    fn end_hosts(&mut self, which: impl Fn(&Host) -> bool) -> Result<(), String> {
+        let (ending, staying): (Vec<Host>, Vec<Host>) =
+            std::mem::take(&mut self.hosts).into_iter().partition(which);
+        self.hosts = staying;
+        for mut host in ending {
+            host.child.tell(&Command::Finish)?;
+            let Reply::Hollow(report) = host.child.reply(PATIENCE)? else {
+                return Err(format!("zone {}: wanted a report", host.zone));
+            };
+            self.ended.push(Ended { started: host.started, to_the_end: false, report: *report });
+        }
+        Ok(())
+    }
+
+    fn finish(&mut self) -> Result<(), String> {
+        let early = self.ended.len();
+        self.end_hosts(|_| true)?;
+        self.ended[early..].iter_mut().for_each(|ended| ended.to_the_end = true);
+        Ok(())
+    }
+
+    fn result(
+        &self,
+        [before, after, total]: [&Loads; 3],
+        elapsed: f64,
+        mut fell_behind: Vec<String>,
+    ) -> HollowResult {
+        let changes: Vec<ChangeResult> = self.changes[1..].iter().map(|c| self.change_result(c)).collect();
+        for Ended { report, .. } in &self.ended {
+            let (p99, worst) = report.late_ticks_ms;
+            if p99 > LATE_MS {
+                fell_behind
+                    .push(format!("ticks of a hollow process late by {p99:.0} ms (p99), {worst:.0} ms"));
+            }
+        }
+        let limiter_seconds: f64 =
+            self.ended.iter().map(|e| f64::from(e.report.limiters) * e.report.elapsed_s).sum();
+        let limiters: f64 = self.ended.iter().map(|e| f64::from(e.report.limiters)).sum();
+        let sum = |of: fn(&HollowReport) -> f64| self.ended.iter().map(|e| of(&e.report)).sum::<f64>();
+        let discovery = self.stand_in_result([&before.0, &after.0, &total.0], elapsed);
+        let counter = match (&before.1, &after.1, &total.1) {
+            (Some(before), Some(after), Some(total)) => {
+                Some(self.stand_in_result([before, after, total], elapsed))
+            }
+            _ => None,
+        };
+        HollowResult {
+            limiters: self.scenario.sizes.limiters,
+            processes: self.scenario.sizes.zones,
+            first_list_s: self.first_lists(),
+            whole_list_bytes: self.changes[0].bytes,
+            changes_missing: changes.iter().map(|change| change.missing as u32).sum(),
+            changes,
+            cpu_cores_per_limiter: sum(|r| r.cpu_s) / limiter_seconds.max(1e-9),
+            start_cpu_s_per_limiter: sum(|r| r.start_cpu_s) / limiters.max(1.0),
+            memory_bytes_per_limiter: sum(|r| r.memory_bytes as f64) / limiters.max(1.0),
+            discovery,
+            counter,
+            quota: self.counter.is_some().then(|| self.quota()),
+            events: self.events.clone(),
+            fell_behind,
+        }
+    }
+
+    /// Only limiters that ran from before the change to the end of the play count.
+    fn change_result(&self, change: &Change) -> ChangeResult {
+        let whole = |e: &&Ended| e.started < change.at && e.to_the_end;
+        let lists = self.ended.iter().filter(whole).flat_map(|e| &e.report.versions);
+        let had: Vec<Option<f64>> = lists
+            .map(|versions| {
+                let first = versions.iter().find(|(generation, _)| *generation >= change.generation);
+                first.map(|(_, at)| at.saturating_sub(change.at) as f64 / SECOND)
+            })
+            .collect();
+        let missing = had.iter().filter(|had| had.is_none()).count();
+        ChangeResult {
+            event: change.event,
+            generation: change.generation,
+            bytes: change.bytes,
+            limiters: had.len(),
+            missing,
+            delay_s: Summary::of(had.into_iter().flatten().collect()),
+        }
+    }
+
+    fn first_lists(&self) -> Summary {
+        let first = |ended: &Ended| {
+            let started = ended.started;
+            let at = |versions: &Vec<(u64, u64)>| versions.first().map(|(_, at)| *at);
+            let delays = ended.report.versions.iter().filter_map(at);
+            delays.map(|at| at.saturating_sub(started) as f64 / SECOND).collect::<Vec<_>>()
+        };
+        Summary::of(self.ended.iter().flat_map(first).collect())
+    }
+
+    /// From what was carried before and after the events, and to the very end.
+    fn stand_in_result(&self, [before, after, to_end]: [&[ZoneLoad]; 3], elapsed: f64) -> StandInResult {
+        let limiters = f64::from(self.scenario.sizes.limiters);
+        let bytes = |zone: usize| {
+            let sum = |load: &ZoneLoad| load.bytes_in + load.bytes_out;
+            (sum(&after[zone]) - sum(&before[zone])) as f64 / elapsed
+        };
+        let total = |of: fn(&ZoneLoad) -> u64| {
+            after.iter().zip(before).map(|(after, before)| of(after) - of(before)).sum::<u64>()
+        };
+        let zones = 0..after.len();
+        let bytes_per_s: f64 = zones.clone().map(bytes).sum();
+        let calls_per_s = total(|load| load.calls) as f64 / elapsed;
+        let worst = zones.map(|zone| {
+            let limiters = self.scenario.limiters_of_zone(zone as u32).len() as f64;
+            bytes(zone) / limiters.max(1.0)
+        });
+        StandInResult {
+            calls_per_s,
+            bytes_per_s,
+            calls_per_limiter_s: calls_per_s / limiters,
+            bytes_per_limiter_s: bytes_per_s / limiters,
+            bytes_per_limiter_s_worst_zone: worst.fold(0.0, f64::max),
+            calls: to_end.iter().map(|load| load.calls).sum(),
+            whole_lists: total(|load| load.whole_lists),
+            connections: total(|load| load.connections),
+        }
+    }
+
+    fn quota(&self) -> QuotaOutcome {
+        let population = Population::new(self.scenario, self.seed);
+        let mut decisions = DecisionCounts::default();
+        let mut units = Vec::new();
+        for Ended { report, .. } in &self.ended {
+            decisions.add(&report.decisions);
+            units.extend_from_slice(&report.units);
+        }
+        units.sort_by_key(|sent| (sent.second, sent.tenant));
+        let mut audit = QuotaAudit::default();
+        for TenantUnits { second, tenant, units } in units {
+            let tenant = tenant as usize;
+            audit.sent(u64::from(second) * SECOND as u64, tenant, units, population.plan(tenant));
+        }
+        QuotaOutcome { decisions, audit: audit.result(&population) }
+    }
+}
+
+fn load(child: &mut Child) -> Result<Vec<ZoneLoad>, String> {
+    child.tell(&Command::Report)?;
+    match child.reply(PATIENCE)? {
+        Reply::Load(zones) => Ok(zones),
+        other => Err(format!("wanted a load, got {other:?}")),
+    }
+}
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,30 @@
+//! Scale runs of mossrill: scenario files, stand-ins for what surrounds a fleet, hollow limiters that run the real
+//! state machines, and measurement. `README.md` says what is a stand-in and what runs in virtual time.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod audit;
+pub mod child;
+pub mod clock;
+pub mod counter;
+pub mod discovery;
+pub mod gateway_host;
+pub mod hollow;
+pub mod hollow_play;
+pub mod membership_play;
+pub mod messages;
+pub mod population;
+pub mod predictions;
+pub mod process_figures;
+pub mod report;
+pub mod run;
+pub mod scenario;
+pub mod server_list;
+pub mod stand_in;
+pub mod summary;
+
+/// The network of hand-made time on which views of a fleet are tested.
+#[path = "../../tests/common/net.rs"]
+#[allow(dead_code, missing_docs, missing_debug_implementations)]
+mod net;
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,115 @@
+//! `mossrill-lab`: plays scale runs from scenario files.
+
+#![forbid(unsafe_code)]
+
+use clap::{Parser, Subcommand};
+use mossrill_lab::messages::Start;
+use mossrill_lab::predictions::Predictions;
+use mossrill_lab::report::{comparison_table, table, RunReport};
+use mossrill_lab::scenario::Scenario;
+use mossrill_lab::{counter, discovery, hollow, run, scenario, stand_in};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Scale runs of mossrill.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays a scenario once for each of its seeds.
+    Run {
+        /// The scenario file.
+        scenario: PathBuf,
+        /// Also writes the reports here, as JSON.
+        #[arg(long)]
+        json: Option<PathBuf>,
+        /// Predicted figures, by scenario and path.
+        #[arg(long)]
+        predictions: Option<PathBuf>,
+        /// One seed in place of the scenario's.
+        #[arg(long)]
+        seed: Option<u64>,
+    },
+    /// Reads and checks scenario files, and plays nothing.
+    Check {
+        /// The scenario files.
+        scenarios: Vec<PathBuf>,
+    },
+    /// A child process of a run.
+    #[command(hide = true)]
+    Child,
+}
+
+fn main() -> ExitCode {
+    match work(Arguments::parse().command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("{fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn work(command: Command) -> Result<(), String> {
+    match command {
+        Command::Run { scenario, json, predictions, seed } => {
+            let scenario = load(&scenario)?;
+            let predictions = predictions.as_deref().map(Predictions::load).transpose()?.unwrap_or_default();
+            let seeds = seed.map_or_else(|| scenario.seeds.clone(), |seed| vec![seed]);
+            play(&scenario, &seeds, &predictions, json.as_deref())
+        }
+        Command::Check { scenarios } => scenarios.iter().try_for_each(|path| {
+            let scenario = load(path)?;
+            let (processes, memory) = (scenario.processes(), scenario.memory_estimate() >> 20);
+            println!("{}: good; {processes} processes and {memory} MB at most", path.display());
+            Ok(())
+        }),
+        Command::Child => child(),
+    }
+}
+
+fn load(path: &Path) -> Result<Scenario, String> {
+    scenario::load(path).map_err(|fault| fault.to_string())
+}
+
+fn play(
+    scenario: &Scenario,
+    seeds: &[u64],
+    predictions: &Predictions,
+    json: Option<&Path>,
+) -> Result<(), String> {
+    let mut reports = Vec::new();
+    for seed in seeds {
+        let report = run::run(scenario, *seed, predictions)?;
+        print(&report)?;
+        reports.push(report);
+    }
+    let Some(json) = json else { return Ok(()) };
+    let text = serde_json::to_string_pretty(&reports).map_err(|fault| fault.to_string())?;
+    std::fs::write(json, text + "\n").map_err(|fault| format!("{}: {fault}", json.display()))
+}
+
+fn print(report: &RunReport) -> Result<(), String> {
+    let (name, seed, scale) = (&report.scenario.name, report.seed, report.scenario.traffic.scale);
+    println!("scenario {name}, seed {seed}, {scale} of tenants and traffic played");
+    let value = serde_json::to_value(report).map_err(|fault| fault.to_string())?;
+    print!("{}", table(&value));
+    print!("{}", comparison_table(&report.predictions));
+    for reason in &report.fell_behind {
+        println!("THE MACHINE DID NOT KEEP UP: {reason}");
+    }
+    Ok(())
+}
+
+fn child() -> Result<(), String> {
+    match stand_in::read_start()? {
+        Start::Discovery { scenario, seed } => discovery::run(&scenario, seed),
+        Start::Counter { zones } => counter::run(zones),
+        Start::Hollow(start) => hollow::run(&start),
+    }
+}
--- /dev/null
+++ b/lab/src/predictions.rs
@@ -0,0 +1,51 @@
+//! Figures that the capacity page predicts, beside those that a run saw.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::path::Path;
+
+/// A figure that differs by more than this part of the prediction is named.
+const TOLERANCE: f64 = 1.0 / 3.0;
+
+/// Predicted figures: by scenario, by path in the report (`hollow.discovery.calls_per_s`).
+#[derive(Debug, Default, Deserialize)]
+pub struct Predictions(BTreeMap<String, BTreeMap<String, f64>>);
+
+/// A predicted figure beside the one that was seen.
+#[derive(Debug, Serialize)]
+pub struct Comparison {
+    /// Its path in the report.
+    pub figure: String,
+    /// As predicted.
+    pub predicted: f64,
+    /// As seen; none where the report has no such figure.
+    pub seen: Option<f64>,
+    /// Seen by predicted.
+    pub ratio: Option<f64>,
+    /// They differ by a third at the most.
+    pub agrees: bool,
+}
+
+impl Predictions {
+    /// Reads a file of predictions.
+    pub fn load(path: &Path) -> Result<Self, String> {
+        let file = path.display();
+        let text = std::fs::read_to_string(path).map_err(|fault| format!("{file}: {fault}"))?;
+        toml::from_str(&text).map_err(|fault| format!("{file}: {fault}"))
+    }
+
+    /// Compares the figures of a scenario with what its report shows.
+    pub fn compare(&self, scenario: &str, report: &Value) -> Vec<Comparison> {
+        let figures = self.0.get(scenario).into_iter().flatten();
+        figures.map(|(figure, predicted)| compare(figure, *predicted, report)).collect()
+    }
+}
+
+fn compare(figure: &str, predicted: f64, report: &Value) -> Comparison {
+    let pointer = format!("/{}", figure.replace('.', "/"));
+    let seen = report.pointer(&pointer).and_then(Value::as_f64);
+    let ratio = seen.filter(|_| predicted != 0.0).map(|seen| seen / predicted);
+    let agrees = seen.is_some_and(|seen| (seen - predicted).abs() <= TOLERANCE * predicted.abs());
+    Comparison { figure: figure.to_owned(), predicted, seen, ratio, agrees }
+}
--- /dev/null
+++ b/lab/src/scenario.rs
@@ -0,0 +1,537 @@
+//! Scenario files: what a run plays, read from TOML and checked before anything starts.
+
+use serde::{Deserialize, Serialize};
+use std::path::Path;
+
+/// Memory that one run may take on the machine.
+pub const MEMORY_LIMIT_BYTES: u64 = 12 << 30;
+/// Processes that one run may start.
+pub const PROCESS_LIMIT: u32 = 300;
+/// Memory of one entry of the server list at a hollow limiter.
+pub const LIST_ENTRY_BYTES: u64 = 16;
+/// Memory of a hollow limiter apart from list and accounts: threads, buffers, its gateway.
+pub const HOLLOW_BASE_BYTES: u64 = 256 << 10;
+/// Memory of one account at one hollow limiter.
+pub const ACCOUNT_BYTES: u64 = 700;
+/// Memory of one real limiter process.
+pub const REAL_LIMITER_BYTES: u64 = 128 << 20;
+/// Stand-ins and the controller itself.
+const OWN_PROCESSES: u32 = 5;
+const OWN_BYTES: u64 = 512 << 20;
+
+/// Why a scenario is refused. Each fault names the file, and the key where there is one.
+#[derive(Debug, thiserror::Error)]
+pub enum ScenarioError {
+    /// The file can't be read.
+    #[error("{file}: {fault}")]
+    Unreadable {
+        /// The file.
+        file: String,
+        /// What the system said.
+        fault: std::io::Error,
+    },
+    /// The file is not TOML, or a key is unknown, missing or of the wrong type.
+    #[error("{file}: {fault}")]
+    Malformed {
+        /// The file.
+        file: String,
+        /// Line, key and reason.
+        fault: Box<toml::de::Error>,
+    },
+    /// A value can't be played.
+    #[error("{file}: key \"{key}\": {reason}")]
+    Value {
+        /// The file.
+        file: String,
+        /// The faulty key with its path.
+        key: String,
+        /// Why.
+        reason: String,
+    },
+}
+
+/// A run as it is written in a scenario file.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// Its name, for reports.
+    pub name: String,
+    /// How long the plays last after their start.
+    pub duration_s: u32,
+    /// Seeds of the random numbers; every seed is one run.
+    pub seeds: Vec<u64>,
+    /// Sizes of the system.
+    pub sizes: Sizes,
+    /// Traffic of the whole fleet.
+    pub traffic: Traffic,
+    /// Hollow limiters that watch the server list over TCP, in real time.
+    pub hollow: Option<Hollow>,
+    /// The fleet's membership, in virtual time.
+    pub membership: Option<Membership>,
+    /// Real processes under traffic, in real time.
+    pub real: Option<Real>,
+    /// Quotas over all limiters, in virtual time.
+    pub quota: Option<Quota>,
+    /// What happens, by time.
+    #[serde(default)]
+    pub events: Vec<TimedEvent>,
+}
+
+/// Sizes of the system.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Sizes {
+    /// Hollow limiters.
+    pub limiters: u32,
+    /// Entries of the server list.
+    pub servers: u32,
+    /// Services among which the servers are divided.
+    pub services: u32,
+    /// Zones.
+    pub zones: u32,
+    /// Regions; zones are dealt out among them.
+    pub regions: u32,
+    /// Tenants, before `traffic.scale`.
+    pub tenants: u32,
+    /// Routes of the configuration.
+    pub routes: u32,
+}
+
+/// Traffic of the whole fleet.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Traffic {
+    /// Requests a second, before `scale`.
+    pub requests_per_s: f64,
+    /// Zipf exponent of the tenants' shares.
+    pub tenant_skew: f64,
+    /// Number of limiters that an account's requests come through.
+    pub spread: u32,
+    /// Share of all traffic that one tenant has on its own; the others share the rest by Zipf.
+    #[serde(default)]
+    pub giant_share: f64,
+    /// Further tenants with one request a minute each, before `scale`.
+    #[serde(default)]
+    pub small_tenants: u32,
+    /// Mean units of a request.
+    pub mean_units: f64,
+    /// Part of tenants and traffic that is played: a system with this part of both, and with all limiters.
+    pub scale: f64,
+    /// Quota of a tenant as a multiple of its mean demand.
+    #[serde(default = "default_headroom")]
+    pub quota_headroom: f64,
+    /// Share of tenants whose quota is half of their demand.
+    #[serde(default = "default_over_quota_share")]
+    pub over_quota_share: f64,
+}
+
+fn default_headroom() -> f64 {
+    1.5
+}
+
+fn default_over_quota_share() -> f64 {
+    0.1
+}
+
+/// Hollow limiters that watch the server list over TCP.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Hollow {
+    /// They also decide drawn requests and call the counter stand-in over TCP.
+    pub counter: bool,
+}
+
+/// The fleet's membership in virtual time.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Membership {
+    /// Members that are played; the state machine has its own upper limit.
+    pub members: u32,
+    /// Part of the datagrams that is lost.
+    pub loss: f64,
+}
+
+/// Real processes under traffic.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Real {
+    /// Processes.
+    pub limiters: u32,
+    /// Upstream servers.
+    pub servers: u32,
+    /// Mean time that an upstream server takes.
+    pub server_mean_ms: f64,
+    /// Requests a second over all processes.
+    pub requests_per_s: f64,
+    /// Accounts of the file made for the run.
+    pub accounts: u32,
+}
+
+/// Quotas over all limiters in virtual time.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Quota {
+    /// What keeps the quotas; every mechanism listed is played on the same traffic in turn.
+    pub mechanisms: Vec<Mechanism>,
+    /// Machines set aside for control.
+    pub control_machines: u32,
+    /// Round trip between a limiter and a control machine of its region.
+    pub round_trip_ms: f64,
+    /// Round trip to a control machine of another region.
+    pub far_round_trip_ms: f64,
+}
+
+/// What keeps the quotas.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Mechanism {
+    /// Calls of the shared counter.
+    Counter,
+    /// Leases of units from the control machines.
+    Leases,
+}
+
+/// An event with its time.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TimedEvent {
+    /// Seconds after the start of the play.
+    pub at_s: f64,
+    /// What happens.
+    pub event: Event,
+}
+
+/// What can happen in a run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub enum Event {
+    /// All servers and limiters of a zone are gone at once.
+    ZoneLost {
+        /// Its number.
+        zone: u32,
+    },
+    /// All servers and limiters of a lost zone are back within one second.
+    ZoneBack {
+        /// Its number.
+        zone: u32,
+    },
+    /// Half of all limiters are restarted at once.
+    HalfRestarted,
+    /// So many entries of the server list change at once.
+    ListChanges {
+        /// Entries.
+        count: u32,
+    },
+    /// A region loses the others.
+    RegionCut {
+        /// Its number.
+        region: u32,
+    },
+    /// It has them again.
+    RegionHealed {
+        /// Its number.
+        region: u32,
+    },
+    /// A control machine is lost.
+    ControlMachineLost {
+        /// Its number.
+        machine: u32,
+    },
+    /// It is back, empty.
+    ControlMachineBack {
+        /// Its number.
+        machine: u32,
+    },
+    /// The configuration of the real processes changes, and again after every interval.
+    ConfigurationChanged {
+        /// The interval.
+        every_s: u32,
+    },
+    /// A limiter stands still and then goes on with what it knew.
+    LimiterPaused {
+        /// Its number.
+        limiter: u32,
+        /// For so long.
+        seconds: f64,
+    },
+}
+
+impl Event {
+    /// Its name in scenario files and reports.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::ZoneLost { .. } => "zone-lost",
+            Self::ZoneBack { .. } => "zone-back",
+            Self::HalfRestarted => "half-restarted",
+            Self::ListChanges { .. } => "list-changes",
+            Self::RegionCut { .. } => "region-cut",
+            Self::RegionHealed { .. } => "region-healed",
+            Self::ControlMachineLost { .. } => "control-machine-lost",
+            Self::ControlMachineBack { .. } => "control-machine-back",
+            Self::ConfigurationChanged { .. } => "configuration-changed",
+            Self::LimiterPaused { .. } => "limiter-paused",
+        }
+    }
+}
+
+/// Reads and checks a scenario file.
+pub fn load(path: &Path) -> Result<Scenario, ScenarioError> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|fault| ScenarioError::Unreadable { file: file.clone(), fault })?;
+    parse(&file, &text)
+}
+
+/// Reads and checks the text of a scenario file.
+pub fn parse(file: &str, text: &str) -> Result<Scenario, ScenarioError> {
+    let mut scenario: Scenario = toml::from_str(text)
+        .map_err(|fault| ScenarioError::Malformed { file: file.into(), fault: Box::new(fault) })?;
+    check(&scenario).map_err(|(key, reason)| ScenarioError::Value { file: file.into(), key, reason })?;
+    scenario.events.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+    Ok(scenario)
+}
+
+type Checked = Result<(), (String, String)>;
+
+fn refuse(key: impl Into<String>, reason: impl Into<String>) -> Checked {
+    Err((key.into(), reason.into()))
+}
+
+fn check(scenario: &Scenario) -> Checked {
+    check_sizes(scenario)?;
+    check_traffic(&scenario.traffic)?;
+    check_plays(scenario)?;
+    for (number, timed) in scenario.events.iter().enumerate() {
+        check_event(scenario, number, timed)?;
+    }
+    check_machine(scenario)
+}
+
+fn check_sizes(scenario: &Scenario) -> Checked {
+    let sizes = &scenario.sizes;
+    let counts = [
+        ("duration_s", scenario.duration_s),
+        ("sizes.limiters", sizes.limiters),
+        ("sizes.servers", sizes.servers),
+        ("sizes.services", sizes.services),
+        ("sizes.zones", sizes.zones),
+        ("sizes.regions", sizes.regions),
+        ("sizes.tenants", sizes.tenants),
+        ("sizes.routes", sizes.routes),
+    ];
+    if let Some((key, _)) = counts.into_iter().find(|(_, count)| *count == 0) {
+        return refuse(key, "must be above 0");
+    }
+    if scenario.seeds.is_empty() {
+        return refuse("seeds", "must have one seed at least");
+    }
+    if sizes.zones > sizes.limiters {
+        return refuse("sizes.zones", "more zones than limiters");
+    }
+    if sizes.regions > sizes.zones {
+        return refuse("sizes.regions", "more regions than zones");
+    }
+    if sizes.services > sizes.servers {
+        return refuse("sizes.services", "more services than servers");
+    }
+    Ok(())
+}
+
+fn check_traffic(traffic: &Traffic) -> Checked {
+    let positive = [
+        ("traffic.requests_per_s", traffic.requests_per_s),
+        ("traffic.tenant_skew", traffic.tenant_skew),
+        ("traffic.mean_units", traffic.mean_units),
+        ("traffic.scale", traffic.scale),
+        ("traffic.quota_headroom", traffic.quota_headroom),
+    ];
+    if let Some((key, _)) = positive.into_iter().find(|(_, v)| !v.is_finite() || *v <= 0.0) {
+        return refuse(key, "must be above 0");
+    }
+    if traffic.mean_units < 1.0 {
+        return refuse("traffic.mean_units", "must be 1 at least");
+    }
+    if traffic.scale > 1.0 {
+        return refuse("traffic.scale", "must be 1 at most");
+    }
+    if traffic.spread == 0 {
+        return refuse("traffic.spread", "must be above 0");
+    }
+    for (key, share) in
+        [("traffic.giant_share", traffic.giant_share), ("traffic.over_quota_share", traffic.over_quota_share)]
+    {
+        if !(0.0..1.0).contains(&share) {
+            return refuse(key, "must be from 0 to below 1");
+        }
+    }
+    Ok(())
+}
+
+fn check_plays(scenario: &Scenario) -> Checked {
+    if let Some(membership) = &scenario.membership {
+        if membership.members < 2 {
+            return refuse("membership.members", "must be 2 at least");
+        }
+        let most = mossrill::fleet::datagram::MOST_LIMITERS;
+        if membership.members > most {
+            return refuse("membership.members", format!("the fleet's view bears {most} at most"));
+        }
+        if !(0.0..1.0).contains(&membership.loss) {
+            return refuse("membership.loss", "must be from 0 to below 1");
+        }
+    }
+    if let Some(real) = &scenario.real {
+        let counts = [
+            ("real.limiters", real.limiters),
+            ("real.servers", real.servers),
+            ("real.accounts", real.accounts),
+        ];
+        if let Some((key, _)) = counts.into_iter().find(|(_, count)| *count == 0) {
+            return refuse(key, "must be above 0");
+        }
+        for (key, value) in
+            [("real.server_mean_ms", real.server_mean_ms), ("real.requests_per_s", real.requests_per_s)]
+        {
+            if !value.is_finite() || value <= 0.0 {
+                return refuse(key, "must be above 0");
+            }
+        }
+    }
+    if let Some(quota) = &scenario.quota {
+        if quota.control_machines == 0 {
+            return refuse("quota.control_machines", "must be above 0");
+        }
+        if quota.mechanisms.is_empty() {
+            return refuse("quota.mechanisms", "must have one mechanism at least");
+        }
+        for (key, value) in [
+            ("quota.round_trip_ms", quota.round_trip_ms),
+            ("quota.far_round_trip_ms", quota.far_round_trip_ms),
+        ] {
+            if !value.is_finite() || value <= 0.0 {
+                return refuse(key, "must be above 0");
+            }
+        }
+    }
+    let plays = [
+        scenario.hollow.is_some(),
+        scenario.membership.is_some(),
+        scenario.real.is_some(),
+        scenario.quota.is_some(),
+    ];
+    match plays.contains(&true) {
+        true => Ok(()),
+        false => refuse("hollow", "one of hollow, membership, real and quota must be there"),
+    }
+}
+
+fn check_event(scenario: &Scenario, number: usize, timed: &TimedEvent) -> Checked {
+    let key = |name: &str| format!("events[{number}].{name}");
+    let within = 0.0..=f64::from(scenario.duration_s);
+    if !within.contains(&timed.at_s) {
+        return refuse(key("at_s"), "must be within the run's duration");
+    }
+    let sizes = &scenario.sizes;
+    let machines = scenario.quota.as_ref().map_or(0, |quota| quota.control_machines);
+    let (name, value, limit) = match &timed.event {
+        Event::ZoneLost { zone } | Event::ZoneBack { zone } => ("zone", *zone, sizes.zones),
+        Event::RegionCut { region } | Event::RegionHealed { region } => ("region", *region, sizes.regions),
+        Event::ControlMachineLost { machine } | Event::ControlMachineBack { machine } => {
+            ("machine", *machine, machines)
+        }
+        Event::LimiterPaused { limiter, seconds } => {
+            if !seconds.is_finite() || *seconds <= 0.0 {
+                return refuse(key("event.limiter-paused.seconds"), "must be above 0");
+            }
+            ("limiter", *limiter, sizes.limiters)
+        }
+        Event::ListChanges { count } => {
+            if *count == 0 || *count > sizes.servers {
+                return refuse(key("event.list-changes.count"), "must be from 1 to sizes.servers");
+            }
+            return Ok(());
+        }
+        Event::ConfigurationChanged { every_s } => {
+            return match every_s {
+                0 => refuse(key("event.configuration-changed.every_s"), "must be above 0"),
+                _ => Ok(()),
+            };
+        }
+        Event::HalfRestarted => return Ok(()),
+    };
+    if value >= limit {
+        let event = timed.event.name();
+        return refuse(key(&format!("event.{event}.{name}")), format!("is {value}, there are {limit}"));
+    }
+    Ok(())
+}
+
+/// Refuses what the machine does not bear, by an estimate from above.
+fn check_machine(scenario: &Scenario) -> Checked {
+    let processes = scenario.processes();
+    if processes > PROCESS_LIMIT {
+        return refuse(
+            "sizes.zones",
+            format!("{processes} processes with real.limiters, the machine bears {PROCESS_LIMIT}"),
+        );
+    }
+    let memory = scenario.memory_estimate();
+    if memory > MEMORY_LIMIT_BYTES {
+        let (wanted, most) = (memory >> 20, MEMORY_LIMIT_BYTES >> 20);
+        return refuse("sizes.limiters", format!("takes about {wanted} MB, the machine bears {most} MB"));
+    }
+    Ok(())
+}
+
+impl Scenario {
+    /// Processes of the run: one hollow process for each zone, the real ones, and the stand-ins.
+    pub fn processes(&self) -> u32 {
+        let hollow = if self.hollow.is_some() { self.sizes.zones } else { 0 };
+        let real = self.real.as_ref().map_or(0, |real| real.limiters);
+        hollow.saturating_add(real).saturating_add(OWN_PROCESSES)
+    }
+
+    /// Memory that the run takes at most, in bytes.
+    pub fn memory_estimate(&self) -> u64 {
+        let sizes = &self.sizes;
+        let limiters = u64::from(sizes.limiters);
+        let accounts = self.accounts_seen_by_a_limiter() * ACCOUNT_BYTES;
+        let list = u64::from(sizes.servers) * LIST_ENTRY_BYTES;
+        let counter = self.hollow.as_ref().is_some_and(|hollow| hollow.counter);
+        let each = list + HOLLOW_BASE_BYTES + if counter { accounts } else { 0 };
+        let hollow = if self.hollow.is_some() { limiters.saturating_mul(each) } else { 0 };
+        let quota = if self.quota.is_some() { limiters.saturating_mul(accounts) } else { 0 };
+        let real = self.real.as_ref().map_or(0, |real| u64::from(real.limiters) * REAL_LIMITER_BYTES);
+        hollow.max(quota).saturating_add(real).saturating_add(OWN_BYTES)
+    }
+
+    /// Accounts that a limiter may come to know: those of its sets, and not more than it sees requests.
+    fn accounts_seen_by_a_limiter(&self) -> u64 {
+        let (sizes, traffic) = (&self.sizes, &self.traffic);
+        let tenants = (f64::from(sizes.tenants) + f64::from(traffic.small_tenants)) * traffic.scale;
+        let spread = f64::from(traffic.spread.min(sizes.limiters));
+        let in_sets = tenants * spread / f64::from(sizes.limiters);
+        let kept_for_s = 60.0_f64.min(f64::from(self.duration_s));
+        let requests = traffic.requests_per_s * traffic.scale / f64::from(sizes.limiters) * kept_for_s;
+        in_sets.min(requests).ceil() as u64
+    }
+
+    /// The zone of a limiter. Limiters are dealt out in blocks, so that each zone has its own range.
+    pub fn zone_of_limiter(&self, limiter: u32) -> u32 {
+        (u64::from(limiter) * u64::from(self.sizes.zones) / u64::from(self.sizes.limiters)) as u32
+    }
+
+    /// The limiters of a zone.
+    pub fn limiters_of_zone(&self, zone: u32) -> std::ops::Range<u32> {
+        let start = |zone: u32| {
+            let (zone, limiters) = (u64::from(zone), u64::from(self.sizes.limiters));
+            (zone * limiters).div_ceil(u64::from(self.sizes.zones)) as u32
+        };
+        start(zone)..start(zone + 1)
+    }
+
+    /// The region of a zone.
+    pub fn region_of_zone(&self, zone: u32) -> u32 {
+        zone % self.sizes.regions
+    }
+}
--- /dev/null
+++ b/lab/src/stand_in.rs
@@ -0,0 +1,113 @@
+//! What all stand-ins have in common: a listener for each zone, a thread for each connection, and counters.
+
+use crate::messages::{Command, Reply, Start, ZoneLoad};
+use std::io::{self, BufRead, Write};
+use std::net::{Ipv4Addr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::Arc;
+use std::thread;
+
+/// Enough for a connection's thread.
+const STACK_BYTES: usize = 96 * 1024;
+
+/// What a zone's connections carried, and whether the zone is cut off.
+#[derive(Default)]
+pub struct ZoneCounters {
+    connections: AtomicU64,
+    calls: AtomicU64,
+    bytes_in: AtomicU64,
+    bytes_out: AtomicU64,
+    whole_lists: AtomicU64,
+    silent: AtomicBool,
+}
+
+impl ZoneCounters {
+    /// Counts a call of so many bytes.
+    pub fn call(&self, bytes: usize) {
+        self.calls.fetch_add(1, Relaxed);
+        self.bytes_in.fetch_add(bytes as u64, Relaxed);
+    }
+
+    /// Counts so many bytes of an answer.
+    pub fn answer(&self, bytes: usize) {
+        self.bytes_out.fetch_add(bytes as u64, Relaxed);
+    }
+
+    /// Counts an answer that is the whole list.
+    pub fn whole_list(&self) {
+        self.whole_lists.fetch_add(1, Relaxed);
+    }
+
+    /// Nothing gets through to this zone.
+    pub fn is_silent(&self) -> bool {
+        self.silent.load(Relaxed)
+    }
+
+    /// Cuts the zone off, or lets it through again.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Relaxed);
+    }
+
+    /// What was counted.
+    pub fn load(&self) -> ZoneLoad {
+        ZoneLoad {
+            connections: self.connections.load(Relaxed),
+            calls: self.calls.load(Relaxed),
+            bytes_in: self.bytes_in.load(Relaxed),
+            bytes_out: self.bytes_out.load(Relaxed),
+            whole_lists: self.whole_lists.load(Relaxed),
+        }
+    }
+}
+
+/// Listens once for each zone and serves each connection on a thread. The ports come back in the order of zones.
+pub fn listen<S>(zones: &[Arc<ZoneCounters>], serve: S) -> io::Result<Vec<u16>>
+where
+    S: Fn(TcpStream, &ZoneCounters) + Clone + Send + 'static,
+{
+    let mut ports = Vec::new();
+    for zone in zones {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        ports.push(listener.local_addr()?.port());
+        let (zone, serve) = (zone.clone(), serve.clone());
+        spawn(move || accept(&listener, &zone, &serve))?;
+    }
+    Ok(ports)
+}
+
+fn accept<S>(listener: &TcpListener, zone: &Arc<ZoneCounters>, serve: &S)
+where
+    S: Fn(TcpStream, &ZoneCounters) + Clone + Send + 'static,
+{
+    for stream in listener.incoming().flatten() {
+        zone.connections.fetch_add(1, Relaxed);
+        _ = stream.set_nodelay(true);
+        let (zone, serve) = (zone.clone(), serve.clone());
+        _ = spawn(move || serve(stream, &zone));
+    }
+}
+
+/// Starts a thread with a small stack.
+pub fn spawn(work: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    thread::Builder::new().stack_size(STACK_BYTES).spawn(work).map(drop)
+}
+
+/// Reads what this child is told first.
+pub fn read_start() -> Result<Start, String> {
+    let mut line = String::new();
+    io::stdin().read_line(&mut line).map_err(|fault| fault.to_string())?;
+    serde_json::from_str(&line).map_err(|fault| format!("start of a child: {fault}"))
+}
+
+/// Commands until the controller has none any more.
+pub fn commands() -> impl Iterator<Item = Command> {
+    let lines = io::stdin().lock().lines().map_while(Result::ok);
+    lines.map_while(|line| serde_json::from_str(&line).ok())
+}
+
+/// Says something to the controller.
+pub fn reply(reply: &Reply) -> Result<(), String> {
+    let line = serde_json::to_string(reply).map_err(|fault| fault.to_string())?;
+    let mut out = io::stdout().lock();
+    writeln!(out, "{line}").and_then(|()| out.flush()).map_err(|fault| fault.to_string())
+}
--- /dev/null
+++ b/lab/tests/short_run.rs
@@ -0,0 +1,124 @@
+//! A whole run at small size: all events happen, every limiter has every change, figures add up. No time is asserted.
+
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+fn file(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join(name)
+}
+
+fn lab(arguments: &[&str]) -> (bool, String, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_mossrill-lab")).args(arguments).output().expect("the lab");
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    (output.status.success(), text(&output.stdout), text(&output.stderr))
+}
+
+fn count(value: &Value, path: &str) -> u64 {
+    value.pointer(path).and_then(Value::as_u64).unwrap_or_else(|| panic!("no {path}"))
+}
+
+fn number(value: &Value, path: &str) -> f64 {
+    value.pointer(path).and_then(Value::as_f64).unwrap_or_else(|| panic!("no {path}"))
+}
+
+#[test]
+fn a_short_run_plays_every_event_and_its_figures_add_up() {
+    let json = std::env::temp_dir().join(format!("mossrill-lab-short-{}.json", std::process::id()));
+    let scenario = file("scenarios/short.toml");
+    let predictions = file("tests/short_predictions.toml");
+    let (good, printed, fault) = lab(&[
+        "run",
+        &scenario.to_string_lossy(),
+        "--json",
+        &json.to_string_lossy(),
+        "--predictions",
+        &predictions.to_string_lossy(),
+    ]);
+    assert!(good, "{fault}\n{printed}");
+    let text = std::fs::read_to_string(&json).expect("reports");
+    _ = std::fs::remove_file(&json);
+    let reports: Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!(reports.as_array().map(Vec::len), Some(1));
+    let report = &reports[0];
+    hollow_limiters_have_every_change(&report["hollow"]);
+    decisions_add_up(&report["hollow"]);
+    membership_is_known(&report["membership"]);
+    predictions_are_compared(report, &printed);
+    assert!(report["kept_up"].is_boolean() && report["fell_behind"].is_array());
+    for figure in ["hollow.memory_bytes_per_limiter", "hollow.discovery.calls_per_s", "membership.settled_s"]
+    {
+        assert!(printed.contains(figure), "{figure} is not in the table:\n{printed}");
+    }
+}
+
+fn hollow_limiters_have_every_change(hollow: &Value) {
+    let events: Vec<_> = hollow["events"].as_array().expect("events").iter().map(Value::as_str).collect();
+    let wanted = [
+        "list-changes",
+        "zone-lost",
+        "zone-back",
+        "region-cut",
+        "list-changes",
+        "region-healed",
+        "half-restarted",
+    ];
+    assert_eq!(events, wanted.map(Some));
+    let changes = hollow["changes"].as_array().expect("changes");
+    assert_eq!(changes.len(), 4);
+    for change in changes {
+        assert_eq!(count(change, "/missing"), 0, "{change}");
+        assert!(count(change, "/limiters") > 0 && count(change, "/bytes") > 0, "{change}");
+        assert_eq!(count(change, "/limiters"), count(change, "/delay_s/count"), "{change}");
+    }
+    // 24 at first, those of one zone again, and those of every second zone.
+    assert_eq!(count(hollow, "/first_list_s/count"), 24 + 6 + 12);
+    assert_eq!(count(hollow, "/changes_missing"), 0);
+    assert!(count(hollow, "/discovery/calls") >= 24 + 6 + 12);
+    for figure in ["cpu_cores_per_limiter", "memory_bytes_per_limiter", "start_cpu_s_per_limiter"] {
+        assert!(number(hollow, &format!("/{figure}")) > 0.0, "{figure}");
+    }
+}
+
+fn decisions_add_up(hollow: &Value) {
+    let of = |name: &str| count(hollow, &format!("/quota/decisions/{name}"));
+    assert!(of("requests") > 0 && of("sent") > 0 && of("calls") > 0);
+    assert_eq!(of("requests"), of("sent") + of("refused") + of("undecided"));
+    let carried = count(hollow, "/counter/calls");
+    assert!(of("calls_answered") <= carried && carried <= of("calls"), "{carried} calls carried");
+    let (sent, beyond) =
+        (number(hollow, "/quota/audit/sent_units"), number(hollow, "/quota/audit/beyond_units"));
+    assert!(sent >= of("sent") as f64 && beyond >= 0.0 && beyond < sent);
+}
+
+fn membership_is_known(membership: &Value) {
+    assert_eq!(membership["time"], "virtual");
+    let events = membership["events"].as_array().expect("events");
+    assert_eq!(events.len(), 6);
+    for event in events {
+        assert!(event["known_s"].is_number(), "{event}");
+    }
+    assert!(number(membership, "/settled_s") > 0.0 && number(membership, "/bytes_per_member_s") > 0.0);
+}
+
+/// One prediction holds, one is far off, one names a figure that is not there.
+fn predictions_are_compared(report: &Value, printed: &str) {
+    let compared = report["predictions"].as_array().expect("predictions");
+    let agrees = |figure: &str| {
+        let found = compared.iter().find(|c| c["figure"] == figure);
+        found.unwrap_or_else(|| panic!("no {figure}"))["agrees"].as_bool()
+    };
+    assert_eq!(agrees("hollow.limiters"), Some(true));
+    assert_eq!(agrees("hollow.processes"), Some(false));
+    assert_eq!(agrees("hollow.no_such_figure"), Some(false));
+    assert!(printed.contains("hollow.processes: predicted 8, seen 4, ratio 0.50: DIFFERS"), "{printed}");
+}
+
+#[test]
+fn a_bad_scenario_ends_the_program_with_its_name() {
+    let bad = std::env::temp_dir().join(format!("mossrill-lab-bad-{}.toml", std::process::id()));
+    std::fs::write(&bad, "name = \"bad\"\nunknown = 1\n").expect("file");
+    let (good, _, fault) = lab(&["run", &bad.to_string_lossy()]);
+    _ = std::fs::remove_file(&bad);
+    assert!(!good && fault.contains(&*bad.to_string_lossy()) && fault.contains("unknown"), "{fault}");
+}
