--- a/src/limiter/bans.rs
+++ b/src/limiter/bans.rs
@@ -9,7 +9,7 @@
 
 /// What the node list says, and what operators say.
 #[derive(Debug, Default)]
-pub(crate) struct Bans {
+pub struct Bans {
     /// As the list has them, without those that are gone.
     listed: HashMap<ServerId, Member>,
     /// Every id that was listed.
@@ -21,7 +21,7 @@
 
 impl Bans {
     /// Takes news of the list; what the decision module is to hear of it.
-    pub(crate) fn news(&mut self, scope: Scope, members: Vec<Member>) -> Vec<Member> {
+    pub fn news(&mut self, scope: Scope, members: Vec<Member>) -> Vec<Member> {
         if matches!(scope, Scope::Full | Scope::Kept) {
             self.listed.clear();
         }
@@ -41,7 +41,7 @@
     }
 
     /// Nodes that were listed and are not in this whole list.
-    pub(crate) fn missing(&self, whole: &[Member]) -> Vec<ServerId> {
+    pub fn missing(&self, whole: &[Member]) -> Vec<ServerId> {
         let there: HashSet<_> = whole.iter().map(|member| &member.id).collect();
         self.listed.keys().filter(|id| !there.contains(id)).cloned().collect()
     }
@@ -57,7 +57,7 @@
     }
 
     /// Takes a node out; none if it was never listed, else what the module is to hear.
-    pub(crate) fn disable(&mut self, id: &ServerId) -> Option<Vec<Member>> {
+    pub fn disable(&mut self, id: &ServerId) -> Option<Vec<Member>> {
         if !self.ever.contains(id) {
             return None;
         }
@@ -66,7 +66,7 @@
     }
 
     /// Puts a node back as one that has just started; none if it was never listed.
-    pub(crate) fn enable(&mut self, id: &ServerId, now: Micros) -> Option<Vec<Member>> {
+    pub fn enable(&mut self, id: &ServerId, now: Micros) -> Option<Vec<Member>> {
         if !self.ever.contains(id) {
             return None;
         }
@@ -78,7 +78,7 @@
     }
 
     /// All that operators have said, for a successor.
-    pub(crate) fn all(&self) -> Vec<Ban> {
+    pub fn all(&self) -> Vec<Ban> {
         let ban = |id: &ServerId, out, at| Ban { id: id.0.to_string(), out, at };
         let back = self.back.iter().filter(|(id, _)| !self.out.contains(*id));
         let out = self.out.iter().map(|id| ban(id, true, 0));
@@ -86,7 +86,7 @@
     }
 
     /// What was said to the other process, also of a node that this one has not seen listed yet.
-    pub(crate) fn take(&mut self, ban: &Ban) -> Vec<Member> {
+    pub fn take(&mut self, ban: &Ban) -> Vec<Member> {
         let id = ServerId::from(&*ban.id);
         self.ever.insert(id.clone());
         let members = if ban.out {
@@ -100,47 +100,8 @@
     }
 
     /// Listed nodes, and those of them that nothing new goes to.
-    pub(crate) fn counts(&self) -> (usize, usize) {
+    pub fn counts(&self) -> (usize, usize) {
         let avoided = |m: &&Member| m.readiness != Readiness::Ready || self.out.contains(&m.id);
         (self.listed.len(), self.listed.values().filter(avoided).count())
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn node(id: &str, readiness: Readiness) -> Member {
-        Member { id: id.into(), zone: String::new(), cell: 0, readiness, weight: 1.0, started: 5 }
-    }
-
-    fn told(members: &[Member]) -> Vec<(&str, Readiness, Micros)> {
-        members.iter().map(|m| (&*m.id.0, m.readiness, m.started)).collect()
-    }
-
-    #[test]
-    fn a_node_taken_out_stays_out_whatever_the_list_says_until_one_call_back() {
-        use Readiness::{Draining, Gone, Ready};
-        let mut bans = Bans::default();
-        let (a, b) = (ServerId::from("a"), ServerId::from("b"));
-        bans.news(Scope::Full, vec![node("a", Ready), node("b", Ready)]);
-        assert_eq!(bans.disable(&"never".into()), None);
-        // Repeated calls are harmless, and one call back ends the ban.
-        bans.disable(&a);
-        assert_eq!(told(&bans.disable(&a).expect("listed")), [("a", Draining, 5)]);
-        assert_eq!(bans.counts(), (2, 1));
-        // Told again, a whole list, gone, and back under its id.
-        assert_eq!(told(&bans.news(Scope::Changes, vec![node("a", Ready)])), [("a", Draining, 5)]);
-        let whole = bans.news(Scope::Full, vec![node("a", Ready), node("b", Ready)]);
-        assert_eq!(told(&whole), [("a", Draining, 5), ("b", Ready, 5)]);
-        assert_eq!(told(&bans.news(Scope::Changes, vec![node("a", Gone)])), [("a", Gone, 5)]);
-        assert_eq!(bans.counts(), (1, 0));
-        assert_eq!(told(&bans.news(Scope::Changes, vec![node("a", Ready)])), [("a", Draining, 5)]);
-        // Back as a node that has just started, also where the list knows nothing of that.
-        assert_eq!(told(&bans.enable(&a, 77).expect("listed")), [("a", Ready, 77)]);
-        assert_eq!(told(&bans.news(Scope::Changes, vec![node("a", Ready)])), [("a", Ready, 77)]);
-        // What was not out is left as it is.
-        assert_eq!(bans.enable(&b, 78), Some(Vec::new()));
-        assert_eq!(bans.counts(), (2, 0));
-    }
-}
--- a/src/limiter/mod.rs
+++ b/src/limiter/mod.rs
@@ -4,7 +4,7 @@
 //! stands behind [`Edges`] and reaches the core through its queue of [`Input`]s alone; the one thread that
 //! runs [`Core::run`] owns the module.
 
-mod bans;
+pub mod bans;
 mod timers;
 
 pub use timers::Clock;
--- a/src/net/node_list.rs
+++ b/src/net/node_list.rs
@@ -2,6 +2,7 @@
 
 use super::http::{Body, Broken, Reader};
 use super::lock;
+use super::node_list_waits::{next_wait, spread, turns, Call, TURN};
 use crate::config::{self, NodeNews};
 use crossbeam_channel::{unbounded, Receiver, Sender};
 use serde_json::Value;
@@ -15,17 +16,12 @@
 /// An empty line comes every 2 s; a watch silent for longer than this is broken.
 const SILENCE: Duration = Duration::from_millis(4_500);
 const CONNECT: Duration = Duration::from_secs(1);
-/// The node list takes its callers one after another: time for each limiter of the fleet.
-const TURN: Duration = Duration::from_millis(20);
 /// The longest wait before a list is asked that may answer at once, as a part of the time for which a node told to be
 /// draining may still be sent to.
 ///
 /// Guards against a limiter of a large fleet that asks too late: what the list has to tell counts as told from the start on
 /// to a limiter that could have asked, and nothing may go to a drained node after that time.
 const FIRST_PART: f64 = 0.7;
-/// The longest time for all turns of a fleet that was turned away, and the longest wait then: at least, and at most.
-const LONGEST_TURNS: Duration = Duration::from_secs(2);
-const LONGEST_WAIT: [Duration; 2] = [Duration::from_secs(1), Duration::from_secs(5)];
 /// What comes at once is the whole list at most.
 const LONGEST_NEWS: usize = 4 << 20;
 
@@ -78,40 +74,6 @@
     Ok(watch)
 }
 
-/// Time in which a fleet of so many limiters asks.
-fn turns(limiters: u32) -> Duration {
-    (TURN * limiters.max(1)).min(LONGEST_TURNS)
-}
-
-/// What came of a call of the node list.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Call {
-    /// The list was heard, or the call is the first.
-    Heard,
-    /// It broke off, before or after its head.
-    Broke,
-    /// The list said no.
-    TurnedAway,
-}
-
-/// The longest that may be waited before a call, after one that may have been waited for `last`: `first` at the most,
-/// but where the list turned away all turns of the fleet, and three times as long at the most.
-///
-/// Guards against a fleet that was cut off or started together and asks again together: a node list turns most callers
-/// away then, and limiters that asked each second kept it so for the rest of the day.
-fn next_wait(last: Duration, turns: Duration, first: Duration, call: Call) -> Duration {
-    match call {
-        Call::Heard => turns.min(first),
-        Call::Broke => (last * 2).max(turns).min(first),
-        Call::TurnedAway => (last * 2).max(turns).min((turns * 3).clamp(LONGEST_WAIT[0], LONGEST_WAIT[1])),
-    }
-}
-
-/// A random part of a wait, a tenth of it at least.
-fn spread(wait: Duration, chance: f64) -> Duration {
-    wait.mul_f64(0.1 + 0.9 * chance)
-}
-
 struct Follower<N> {
     from: SocketAddr,
     /// The version last told of; none where the list has to be read whole.
@@ -261,66 +223,3 @@
         Broken::Malformed("unreadable news")
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Where a node told to be draining may be sent to for a second.
-    const FIRST: Duration = Duration::from_millis(700);
-
-    /// 100 limiters that were cut off at the same moment ask a list that takes one of them in 20 ms and turns away
-    /// who waits longer than 250 ms; who is turned away took that time all the same. So many are left after 10 s,
-    /// and when the others were served, in ms.
-    fn cut_off(mut pause: impl FnMut(&mut (Duration, fastrand::Rng)) -> Duration) -> (usize, Vec<u64>) {
-        let fleet = (0..100).map(|seed| {
-            (next_wait(turns(100), turns(100), FIRST, Call::Heard), fastrand::Rng::with_seed(seed))
-        });
-        let mut fleet: Vec<_> = fleet.collect();
-        let mut asks: Vec<(Duration, usize)> =
-            fleet.iter_mut().enumerate().map(|(n, own)| (pause(own), n)).collect();
-        let (mut free, mut served) = (Duration::ZERO, Vec::new());
-        while let Some(next) = (0..asks.len()).min_by_key(|n| asks[*n]) {
-            let (at, n) = asks.swap_remove(next);
-            if at > Duration::from_secs(10) {
-                return (asks.len() + 1, served);
-            }
-            let patient = free.saturating_sub(at) <= Duration::from_millis(250);
-            free = free.max(at) + TURN;
-            if patient {
-                served.push(at.as_millis() as u64);
-            } else {
-                asks.push((at + pause(&mut fleet[n]), n));
-            }
-        }
-        (0, served)
-    }
-
-    #[test]
-    fn a_fleet_that_was_cut_off_together_comes_back_one_after_another() {
-        let spread_out = |(wait, rng): &mut (Duration, fastrand::Rng)| {
-            let pause = spread(*wait, rng.f64());
-            *wait = next_wait(*wait, turns(100), FIRST, Call::TurnedAway);
-            pause
-        };
-        let (left, served) = cut_off(spread_out);
-        assert!(left == 0, "{left} limiters without a list after 10 s, the others at {served:?}");
-        // In step, each second, the list is kept busy with turning away.
-        let (left, _) = cut_off(|_| Duration::from_secs(1));
-        assert!(left > 50, "{left} left: the list of this test is never crowded");
-    }
-
-    #[test]
-    fn waits_grow_with_the_fleet_and_start_again_after_news() {
-        let (few, many) = (turns(3), turns(300));
-        let longest = |turns, call| (0..10).fold(turns, |wait, _| next_wait(wait, turns, FIRST, call));
-        let away = |turns| longest(turns, Call::TurnedAway);
-        assert_eq!((away(few), away(many)), (LONGEST_WAIT[0], LONGEST_WAIT[1]));
-        // What breaks off has turned nobody away, and may have news that counts as told.
-        assert_eq!((longest(few, Call::Broke), longest(many, Call::Broke)), (FIRST, FIRST));
-        // A first try comes well before a second has gone.
-        assert!(spread(next_wait(many, many, FIRST, Call::Heard), 1.0) < Duration::from_millis(800));
-        assert_eq!(next_wait(away(many), many, FIRST, Call::Heard), FIRST);
-        assert!(spread(many, 0.0) > Duration::ZERO && spread(many, 1.0) <= many);
-    }
-}
--- a/src/net/wiring.rs
+++ b/src/net/wiring.rs
@@ -2,6 +2,7 @@
 
 use super::count_lines::{Addition, CountLines};
 use super::front::{Front, Manner, Pass, Reply, Slot};
+use super::shutdown::{last_requests, LAST_ANSWERS, LAST_COMMANDS, STILL_COMING, STILL_WRITTEN};
 use super::tap::Wake;
 use super::ticket_nodes::{Speech, TicketNodes};
 use crate::config::{Common, NodeNews};
@@ -385,24 +386,6 @@
     _ = queue.send(Input::Nodes(scope, members));
 }
 
-/// Connections keep coming for up to 0.4 s after the word to stop.
-const STILL_COMING: Duration = Duration::from_millis(450);
-/// Agents in the middle of a command are waited for so long, with a look at them now and then.
-const LAST_COMMANDS: Duration = Duration::from_secs(2);
-const STILL_WRITTEN: Duration = Duration::from_millis(50);
-/// A limiter is killed this long after the word to stop and the longest deadline, which counts as so much at the most.
-const KILLED: Duration = Duration::from_millis(700);
-const LONGEST_COUNTED: Duration = Duration::from_secs(3);
-const LAST_ANSWERS: Duration = Duration::from_millis(150);
-
-/// How long requests go on once idle connections are closed, where this is the longest deadline. What was taken before is
-/// answered within its deadline, and all that agents still send before the limiter is killed.
-fn last_requests(longest: Duration) -> Duration {
-    let killed = longest.min(LONGEST_COUNTED) + KILLED;
-    // Twice, as answers are written by a part of a processor.
-    killed.saturating_sub(STILL_COMING + LAST_ANSWERS * 2)
-}
-
 /// Ends a limiter from outside.
 pub struct Stopper(Box<dyn FnOnce() + Send>);
 
@@ -413,19 +396,3 @@
         (self.0)();
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn all_is_answered_before_the_limiter_is_killed_whatever_the_deadlines() {
-        for longest in [50, 400, 900, 2_000, 3_000, 5_000, 20_000].map(Duration::from_millis) {
-            let counted = longest.min(LONGEST_COUNTED);
-            let ends = STILL_COMING + last_requests(longest) + LAST_ANSWERS;
-            assert!(ends < counted + KILLED, "{longest:?}: {ends:?}");
-            // And no sooner than what came just after the word to stop is owed its answer.
-            assert!(ends >= counted + LAST_ANSWERS, "{longest:?}: {ends:?}");
-        }
-    }
-}
