Quota leases: design, messages and placement

Change: design note; report and grant as bounded protocol buffers in columns; owner of an account by rendezvous hashing.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod net;
 pub mod openapi;
 pub mod policy;
+pub mod quota_lease;
 mod state;
 pub mod wire;
 
--- /dev/null
+++ b/src/quota_lease/mod.rs
@@ -0,0 +1,6 @@
+//! Quota leases: limiters obtain units of an account's quota ahead of use, from the allocator that owns the account.
+//!
+//! `docs/quota-leases.md` has the design and the bound on what may go beyond a quota.
+
+pub mod message;
+pub mod placement;
