A request that comes as the core has ended is answered; its reader locked itself out

Cause: the reader hands a request to the core's queue with its connection's state locked. Once the core has ended the queue gives the request back, and as it is dropped it answers itself, which takes the same lock: the reader stood still for good, its client got neither an answer nor a close, and once the watch came to that connection, the list of all connections stayed locked as well, which the end of the process waits for.

Change: the lock is given back before the request is dropped.

Test: a_request_that_is_taken_once_the_core_has_ended_is_answered_and_its_connection_closed (tests/crossings.rs); without the mend the client has nothing after 20 s.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -326,7 +326,11 @@
         // Under one lock: told between the two that its agent has left, the core would not know the request.
         let mut state = lock(&self.link.state);
         state.waiting.push(request.number);
-        _ = self.front.queue.send(Input::Request(request));
+        let unsent = self.front.queue.send(Input::Request(request));
+        // A core that has ended takes no request: it comes back, and as it is dropped it answers itself, which takes the
+        // same lock.
+        drop(state);
+        drop(unsent);
     }
 
     /// The limiter knows a node list.
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -726,6 +726,27 @@
     stopped.join().expect("an end");
 }
 
+#[test]
+fn a_request_that_is_taken_once_the_core_has_ended_is_answered_and_its_connection_closed() {
+    let (node, _seen) = resp_peer(|_, words| serve(&words[2]));
+    let mut told = settings(quiet_list(), quota_counter().0, &[("s-1", node)]);
+    // Shorter than the time in which connections still come: the core ends with it, 0.45 s after the word to stop.
+    for class in told["settings"]["classes"].as_array_mut().expect("classes") {
+        (class["slo"], class["deadline"]) = (50_000.into(), 50_000.into());
+    }
+    let limiter = limiter(&told);
+    let mut client = Agent::ready(&limiter);
+    client.ask("look", "first", 50);
+    assert!(!client.answer().is_empty());
+    let stopped = thread::spawn(move || limiter.stop());
+    thread::sleep(Duration::from_millis(300));
+    // The reader has all of it in its hands, and comes to the request once it has rested after the nonsense, for 0.36 s.
+    client.say(&(asking("dance", "bad", 500).repeat(8) + &asking("pay", "in-hand", 50)));
+    stopped.join().expect("an end");
+    let answers: Vec<_> = (0..10).map(|_| client.answer()).collect();
+    assert_eq!(answers[8..], ["-ERR failed", ""]);
+}
+
 #[test]
 fn a_connection_taken_after_idle_ones_were_closed_has_its_first_request_served() {
     let (node, gate, seen) = gated("held");
