Fleet tests: clients ask where a limiter is, not at the port that it left

Cause: after a restart a limiter of the rig listens elsewhere, and its client went on connecting to the old port, a hundred times a second. Beside other tests the system gives that port to another listener.

Change: a client connects where its limiter runs now, with that entry locked, and it is cleared before the limiter ends. The message names what was asked and at which address.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -187,6 +187,25 @@
     rig.check(None);
 }
 
+#[test]
+fn clients_ask_at_a_limiter_where_it_is_again_and_never_where_it_was() {
+    let mut rig = Rig::up(Plan::new("address", 3));
+    let load = rig.load(3);
+    load.goes_on(20);
+    let left = rig.limiters[0].as_ref().expect("running").at;
+    rig.leave(0);
+    // The port goes to another listener, which takes connections and says nothing.
+    let silent = std::net::TcpListener::bind(left).expect("the port");
+    rig.start(0);
+    rig.settle();
+    let served = || rig.figure(0, "requests.look.served") + rig.figure(0, "requests.pay.served");
+    rig.until("served where it is", |_| served() > 20);
+    load.end();
+    silent.set_nonblocking(true).expect("a listener");
+    assert!(silent.accept().is_err(), "asked where it was");
+    rig.check(None);
+}
+
 #[test]
 fn with_all_seeds_dead_at_a_start_a_limiter_serves_and_finds_the_others_later() {
     let mut rig = Rig::new(Plan { seeds: 2, ..Plan::new("seeds", 4) });
--- a/tests/fleet/rig.rs
+++ b/tests/fleet/rig.rs
@@ -5,7 +5,7 @@
 use crate::relay::{Relay, Script, FLEET, SECRET};
 use serde_json::{json, Value};
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -18,6 +18,13 @@
 /// What happened, in the order in which it was seen.
 pub type Record = Arc<Mutex<Vec<Entry>>>;
 
+/// Where each limiter listens now; none while it is gone. A client connects with the entry locked, and an entry is
+/// cleared before its limiter ends.
+///
+/// Guards against clients that connect to a port whose limiter has ended: the system gives it to the next listener, of
+/// this test or of another process, which answers with another record's values or not at all.
+type Addresses = Arc<Vec<Mutex<Option<SocketAddr>>>>;
+
 /// How a rig is set up.
 pub struct Plan {
     pub name: &'static str,
@@ -61,6 +68,7 @@
     nodes: Vec<SocketAddr>,
     /// Whether the counter says anything.
     pub counts_answer: Arc<AtomicBool>,
+    addresses: Addresses,
     starts: usize,
     began: Instant,
 }
@@ -103,9 +111,8 @@
         let mut from = std::io::BufReader::new(stream);
         let Ok((first, ..)) = http(&mut from, false) else { return };
         let whole = |list: &List| list.whole().to_string();
-        let say = |stream: &mut std::net::TcpStream, text: &str| {
-            std::io::Write::write_all(stream, text.as_bytes()).is_ok()
-        };
+        let say =
+            |stream: &mut TcpStream, text: &str| std::io::Write::write_all(stream, text.as_bytes()).is_ok();
         if !first.contains("watch") {
             let body = whole(&own.lock().expect("whole"));
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
@@ -186,6 +193,7 @@
             list: list_now,
             nodes,
             counts_answer: answers,
+            addresses: Arc::new((0..plan.limiters).map(|_| Mutex::default()).collect()),
             starts: 0,
             began: Instant::now(),
             plan,
@@ -216,6 +224,7 @@
 
     pub fn start(&mut self, who: usize) {
         let program = self.another(who);
+        *self.addresses[who].lock().expect("whole") = Some(program.at);
         self.limiters[who] = Some(program);
     }
 
@@ -232,6 +241,7 @@
     }
 
     fn ended(&self, limiter: usize) {
+        *self.addresses[limiter].lock().expect("whole") = None;
         self.record.lock().expect("whole").push(Entry::Ended { limiter });
     }
 
@@ -367,8 +377,8 @@
         let spread = self.limiters.len();
         let agents = limiters.map(|who| {
             let (record, stop, asked) = (self.record.clone(), stop.clone(), asked.clone());
-            let at = self.limiters[who].as_ref().expect("running").at;
-            thread::spawn(move || agent(who, at, spread, accounts, &record, &stop, &asked))
+            let addresses = self.addresses.clone();
+            thread::spawn(move || agent(who, &addresses, spread, accounts, &record, &stop, &asked))
         });
         let agents = agents.collect();
         Load { stop, asked, agents }
@@ -421,10 +431,16 @@
     }
 }
 
+/// A connection to a limiter, if it runs.
+fn connect(address: &Mutex<Option<SocketAddr>>) -> Option<TcpStream> {
+    let address = address.lock().expect("whole");
+    TcpStream::connect((*address)?).ok()
+}
+
 /// Asks at one limiter, wherever it is again after it was gone.
 fn agent(
     limiter: usize,
-    at: SocketAddr,
+    addresses: &Addresses,
     spread: usize,
     accounts: usize,
     record: &Record,
@@ -435,7 +451,7 @@
     let mut connection: Option<Agent> = None;
     while !stop.load(Ordering::SeqCst) {
         let Some(own) = connection.as_mut() else {
-            connection = Agent::try_at(at);
+            connection = connect(&addresses[limiter]).and_then(Agent::try_on);
             thread::sleep(Duration::from_millis(10));
             continue;
         };
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -394,7 +394,11 @@
 
     /// Connects if somebody is there and ready.
     pub fn try_at(at: SocketAddr) -> Option<Self> {
-        let stream = TcpStream::connect(at).ok()?;
+        Self::try_on(TcpStream::connect(at).ok()?)
+    }
+
+    /// Takes a connection if whoever is at its other end is ready.
+    pub fn try_on(stream: TcpStream) -> Option<Self> {
         stream.set_read_timeout(Some(PATIENCE)).ok()?;
         let mut agent = Self(BufReader::new(stream));
         (agent.try_ask("*1\r\n$4\r\nPING\r\n")? == "+PONG").then_some(agent)
@@ -409,7 +413,7 @@
             Ok(_) => None,
             Err(fault) => {
                 let waits = matches!(fault.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut);
-                assert!(!waits, "no answer and no end");
+                assert!(!waits, "no answer and no end of {:?} at {:?}", text, self.0.get_ref());
                 None
             }
         };
