--- a/src/quota_lease/mod.rs
+++ b/src/quota_lease/mod.rs
@@ -2,5 +2,12 @@
 //!
 //! `docs/quota-leases.md` has the design and the bound on what may go beyond a quota.
 
+mod account;
+pub mod allocator;
+pub mod bucket;
+mod exchange;
+mod held;
+pub mod holder;
 pub mod message;
+pub mod ownership;
 pub mod placement;
--- a/src/quota_lease/placement.rs
+++ b/src/quota_lease/placement.rs
@@ -21,3 +21,15 @@
     let candidates = (0..allocators.min(MAX_ALLOCATORS)).filter(serves);
     candidates.max_by_key(|number| (weight(account, *number), *number))
 }
+
+/// Allocators that come before `number` in the account's order, a bit each: it owns the account once all of them are given
+/// away. None if there is no such allocator.
+pub fn ahead_of(account: AccountKey, allocators: u32, number: u32) -> Option<u64> {
+    let allocators = allocators.min(MAX_ALLOCATORS);
+    if number >= allocators {
+        return None;
+    }
+    let own = (weight(account, number), number);
+    let ahead = (0..allocators).filter(|other| (weight(account, *other), *other) > own);
+    Some(ahead.fold(0, |bits, other| bits | 1 << other))
+}
