Names inside net::front say what they are

Change: renames alone, inside src/net/front: ClientConnection, ConnectionState and PendingReply with their fields, run_* for what a thread runs, *_TIMEOUT for time limits. No value and no log line changes.

--- a/src/net/front/accept.rs
+++ b/src/net/front/accept.rs
@@ -1,6 +1,6 @@
 //! New connections: accepting them, and room for them within the limit.
 
-use super::connection::{Link, LinkState};
+use super::connection::{ClientConnection, ConnectionState};
 use super::protocol::ClientProtocol;
 use super::Front;
 use crate::net::{lock, spawn};
@@ -14,33 +14,33 @@
 use std::time::{Duration, Instant};
 
 /// An agent that does not read its answers for so long is dropped: some stand still for seconds.
-const WRITE_WAIT: Duration = Duration::from_secs(6);
+const WRITE_TIMEOUT: Duration = Duration::from_secs(6);
 /// Wait after a failed accept, as when descriptors run out.
-pub(super) const ACCEPT_WAIT: Duration = Duration::from_millis(20);
+pub(super) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// One that has nothing open for so long is closed if another needs its place.
-const SPARE: Duration = Duration::from_secs(2);
+const EVICTABLE_AFTER: Duration = Duration::from_secs(2);
 /// A new connection waits so long for another to end when all are busy.
-const ROOM_WAIT: Duration = Duration::from_millis(100);
+const ROOM_TIMEOUT: Duration = Duration::from_millis(100);
 
 impl<P: ClientProtocol> Front<P> {
-    pub(super) fn accept(self: &Arc<Self>, listener: &TcpListener) {
+    pub(super) fn run_accept_loop(self: &Arc<Self>, listener: &TcpListener) {
         loop {
-            let paused = lock(&self.paused);
-            drop(self.unpaused.wait_while(paused, |paused| *paused));
+            let paused = lock(&self.accept_paused);
+            drop(self.accept_resumed.wait_while(paused, |paused| *paused));
             match listener.accept() {
                 Ok((stream, _)) => {
                     // The one that was waited for when the hand-over began.
-                    let pass = lock(&self.pass).clone();
-                    if pass.is_some_and(|pass| pass(&stream, &[])) || !self.make_room() {
+                    let hand_over = lock(&self.hand_over_to).clone();
+                    if hand_over.is_some_and(|hand_over| hand_over(&stream, &[])) || !self.make_room() {
                         continue;
                     }
-                    if let Err(fault) = self.serve(stream, None) {
+                    if let Err(fault) = self.start_connection(stream, None) {
                         warn!(self.log, "agent connection dropped"; "fault" => %fault);
                     }
                 }
                 Err(fault) => {
                     warn!(self.log, "accept failed"; "fault" => %fault);
-                    thread::sleep(ACCEPT_WAIT);
+                    thread::sleep(ACCEPT_RETRY_DELAY);
                 }
             }
         }
@@ -55,63 +55,73 @@
     /// agent that writes slowly.
     pub(super) fn make_room(&self) -> bool {
         let began = Instant::now();
-        let mut links = lock(&self.links);
-        while links.len() >= self.most.load(Ordering::Relaxed) {
-            let idle = |l: &Link<P>| {
+        let mut connections = lock(&self.connections);
+        while connections.len() >= self.max_connections.load(Ordering::Relaxed) {
+            let idle = |l: &ClientConnection<P>| {
                 let state = lock(&l.state);
-                let quiet = state.idle_since.elapsed();
-                let place = match (state.asked, state.writes()) {
+                let quiet = state.last_activity.elapsed();
+                let place = match (state.has_requested, state.is_sending()) {
                     (false, false) => 0,
-                    (true, false) if quiet >= SPARE => 1,
+                    (true, false) if quiet >= EVICTABLE_AFTER => 1,
                     _ => 2,
                 };
-                (state.owed == 0 && !state.closed && !state.leaving).then_some((place, state.idle_since))
+                (state.unanswered == 0 && !state.closed && !state.closing_when_read)
+                    .then_some((place, state.last_activity))
             };
-            let oldest = links.values().filter_map(|l| Some((idle(l)?, l))).min_by_key(|(at, _)| *at);
-            if let Some((_, link)) = oldest {
-                link.give_way();
-            } else if began.elapsed() >= ROOM_WAIT {
-                if let Some(more) = self.full.permit() {
-                    warn!(self.log, "agent connections full"; "open" => links.len(), "unlogged" => more);
+            let oldest = connections.values().filter_map(|l| Some((idle(l)?, l))).min_by_key(|(at, _)| *at);
+            if let Some((_, connection)) = oldest {
+                connection.evict();
+            } else if began.elapsed() >= ROOM_TIMEOUT {
+                if let Some(more) = self.full_log.permit() {
+                    warn!(self.log, "agent connections full"; "open" => connections.len(), "unlogged" => more);
                 }
                 return false;
             }
-            links = self.freed.wait_timeout(links, ROOM_WAIT).unwrap_or_else(PoisonError::into_inner).0;
+            connections = self
+                .connection_ended
+                .wait_timeout(connections, ROOM_TIMEOUT)
+                .unwrap_or_else(PoisonError::into_inner)
+                .0;
         }
         true
     }
 
     /// Serves a connection that is new, or one with what another process has read from it.
-    pub(super) fn serve(self: &Arc<Self>, stream: TcpStream, read: Option<Vec<u8>>) -> io::Result<()> {
+    pub(super) fn start_connection(
+        self: &Arc<Self>,
+        stream: TcpStream,
+        read: Option<Vec<u8>>,
+    ) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        stream.set_write_timeout(Some(WRITE_WAIT))?;
+        stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
         let now = Instant::now();
-        let state = LinkState {
-            queue: VecDeque::new(),
-            writing: false,
-            taking: true,
-            reading: true,
-            waiting: Vec::new(),
-            owed: 0,
+        let state = ConnectionState {
+            replies: VecDeque::new(),
+            writer_running: false,
+            accepts_commands: true,
+            reader_running: true,
+            open_requests: Vec::new(),
+            unanswered: 0,
             closed: false,
-            leaving: false,
-            held_back: true,
-            moved: false,
-            asked: read.is_some(),
-            pieces: 0,
-            half: read.is_none().then_some(now),
-            spoilt: None,
-            opened: now,
-            idle_since: now,
+            closing_when_read: false,
+            reading_was_paused: true,
+            handed_over: false,
+            has_requested: read.is_some(),
+            partial_reads: 0,
+            incomplete_since: read.is_none().then_some(now),
+            give_up_at: None,
+            opened_at: now,
+            last_activity: now,
         };
-        let link = Arc::new(Link { stream, state: Mutex::new(state), answered: Condvar::new() });
-        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
-        lock(&self.links).insert(number, link.clone());
-        self.opened.notify_one();
-        let (front, reading) = (self.clone(), link.clone());
-        let begun = spawn("agent-read", move || front.read(number, &reading, read.unwrap_or_default()));
+        let connection =
+            Arc::new(ClientConnection { stream, state: Mutex::new(state), progress: Condvar::new() });
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        lock(&self.connections).insert(number, connection.clone());
+        self.connection_opened.notify_one();
+        let (front, reading) = (self.clone(), connection.clone());
+        let begun = spawn("agent-read", move || front.run_reader(number, &reading, read.unwrap_or_default()));
         if begun.is_err() {
-            self.end(number, &link);
+            self.close_connection(number, &connection);
         }
         begun
     }
--- a/src/net/front/connection.rs
+++ b/src/net/front/connection.rs
@@ -11,13 +11,13 @@
 
 /// An agent from which more has come within this time is still writing, slowly, and has so long for its command. What
 /// can't be read comes at full speed and is known at once.
-const WRITING: Duration = Duration::from_millis(700);
+const SENDING_WINDOW: Duration = Duration::from_millis(700);
 /// Agents may hold four fifths of the places; what is above is for floods. Above three fifths, connections that have
 /// nothing open for so long are closed.
-pub(super) const HELD: Duration = Duration::from_millis(300);
+pub(super) const SHORT_IDLE: Duration = Duration::from_millis(300);
 
 /// A command that is owed an answer.
-pub(super) struct Owed<P: ClientProtocol> {
+pub(super) struct PendingReply<P: ClientProtocol> {
     /// Its number; none of the front's own words.
     pub(super) number: u64,
     /// What the writer has to know.
@@ -25,132 +25,134 @@
     /// The answer, once there is one.
     pub(super) reply: Option<Reply<ValueOf<P>>>,
     /// Where a request is counted.
-    pub(super) tally: Option<InFlightRequest>,
+    pub(super) in_flight: Option<InFlightRequest>,
 }
 
 /// A connection of an agent.
-pub(super) struct Link<P: ClientProtocol> {
+pub(super) struct ClientConnection<P: ClientProtocol> {
     pub(super) stream: TcpStream,
-    pub(super) state: Mutex<LinkState<P>>,
+    pub(super) state: Mutex<ConnectionState<P>>,
     /// An answer has been written, or the connection has ended.
-    pub(super) answered: Condvar,
+    pub(super) progress: Condvar,
 }
 
-pub(super) struct LinkState<P: ClientProtocol> {
+pub(super) struct ConnectionState<P: ClientProtocol> {
     /// Answers to be written, in order.
-    pub(super) queue: VecDeque<Owed<P>>,
+    pub(super) replies: VecDeque<PendingReply<P>>,
     /// There is a thread that writes them; for good once it ends the connection.
-    pub(super) writing: bool,
+    pub(super) writer_running: bool,
     /// Further commands may come.
-    pub(super) taking: bool,
+    pub(super) accepts_commands: bool,
     /// There is a thread that reads.
-    pub(super) reading: bool,
+    pub(super) reader_running: bool,
     /// Requests that wait for their answers.
-    pub(super) waiting: Vec<u64>,
+    pub(super) open_requests: Vec<u64>,
     /// Commands read and not answered yet.
-    pub(super) owed: usize,
+    pub(super) unanswered: usize,
     /// Nothing that is read from now on is taken.
     pub(super) closed: bool,
     /// Its reader ends it once it finds no more to be read and nothing is owed.
-    pub(super) leaving: bool,
+    pub(super) closing_when_read: bool,
     /// What is read next may have come long ago: since then the agent may have left.
-    pub(super) held_back: bool,
+    pub(super) reading_was_paused: bool,
     /// Handed over: another process reads and writes on it.
-    pub(super) moved: bool,
+    pub(super) handed_over: bool,
     /// A request has come: neither the front's own words nor what can't be understood counts.
-    pub(super) asked: bool,
+    pub(super) has_requested: bool,
     /// Pieces of the next that have come.
-    pub(super) pieces: u32,
+    pub(super) partial_reads: u32,
     /// Since when the connection waits for a command to become whole.
-    pub(super) half: Option<Instant>,
+    pub(super) incomplete_since: Option<Instant>,
     /// What can't be read has come: whatever is still open by then is failed.
-    pub(super) spoilt: Option<Instant>,
-    pub(super) opened: Instant,
-    pub(super) idle_since: Instant,
+    pub(super) give_up_at: Option<Instant>,
+    pub(super) opened_at: Instant,
+    pub(super) last_activity: Instant,
 }
 
-impl<P: ClientProtocol> LinkState<P> {
+impl<P: ClientProtocol> ConnectionState<P> {
     /// The agent is in the middle of a command, and goes on: one piece and no more is what a crowd sends.
-    pub(super) fn writes(&self) -> bool {
-        self.pieces > 1 && self.idle_since.elapsed() < WRITING
+    pub(super) fn is_sending(&self) -> bool {
+        self.partial_reads > 1 && self.last_activity.elapsed() < SENDING_WINDOW
     }
 
     /// A command may be on its way: the agent writes one, or has only just connected.
-    pub(super) fn is_coming(&self) -> bool {
-        self.writes() || (!self.asked && self.opened.elapsed() < HELD)
+    pub(super) fn command_may_be_coming(&self) -> bool {
+        self.is_sending() || (!self.has_requested && self.opened_at.elapsed() < SHORT_IDLE)
     }
 }
 
-impl<P: ClientProtocol> Link<P> {
+impl<P: ClientProtocol> ClientConnection<P> {
     /// A command has been read; how many are owed an answer with it, or none if the connection is closing and the
     /// command is not taken.
-    pub(super) fn begin(&self) -> Option<usize> {
+    pub(super) fn begin_command(&self) -> Option<usize> {
         let mut state = lock(&self.state);
         if state.closed {
             return None;
         }
-        (state.owed, state.pieces, state.half) = (state.owed + 1, 0, None);
-        Some(state.owed)
+        (state.unanswered, state.partial_reads, state.incomplete_since) = (state.unanswered + 1, 0, None);
+        Some(state.unanswered)
     }
 
     /// The first command still owed has been answered; false if the connection is to end.
-    pub(super) fn end(&self, number: u64, closing: bool) -> bool {
+    pub(super) fn end_command(&self, number: u64, closing: bool) -> bool {
         let mut state = lock(&self.state);
-        state.waiting.retain(|n| *n != number);
-        state.owed = state.owed.saturating_sub(1);
-        state.idle_since = Instant::now();
+        state.open_requests.retain(|n| *n != number);
+        state.unanswered = state.unanswered.saturating_sub(1);
+        state.last_activity = Instant::now();
         if closing {
-            self.leave(&mut state);
+            self.close_if_settled(&mut state);
         }
-        self.answered.notify_all();
-        !state.closed || (state.spoilt.is_some() && state.owed > 0)
+        self.progress.notify_all();
+        !state.closed || (state.give_up_at.is_some() && state.unanswered > 0)
     }
 
     /// Ends if nothing is owed: by its reader, who serves what it has read by then.
     ///
     /// Guards against an end between the reading of a request and its taking: the agent would find its connection closed
     /// under it, and not know that it never ran.
-    pub(super) fn leave(&self, state: &mut LinkState<P>) {
-        if state.owed == 0 && !state.moved {
-            state.leaving = true;
+    pub(super) fn close_if_settled(&self, state: &mut ConnectionState<P>) {
+        if state.unanswered == 0 && !state.handed_over {
+            state.closing_when_read = true;
             _ = self.stream.shutdown(Shutdown::Read);
         }
     }
 
     /// The agent left while it was not read from. Seen once reading goes on, before a request of its is taken.
-    pub(super) fn has_left(&self) -> bool {
+    pub(super) fn peer_has_left(&self) -> bool {
         let mut state = lock(&self.state);
-        let left = std::mem::take(&mut state.held_back) && !state.leaving && hung_up(&self.stream);
+        let left = std::mem::take(&mut state.reading_was_paused)
+            && !state.closing_when_read
+            && peer_hung_up(&self.stream);
         state.closed |= left;
         left
     }
 
     /// Ends if nothing is owed, unless a command may be on its way.
-    pub(super) fn close_if_idle(&self) {
+    pub(super) fn close_unless_busy(&self) {
         let mut state = lock(&self.state);
-        if !state.is_coming() {
-            self.leave(&mut state);
+        if !state.command_may_be_coming() {
+            self.close_if_settled(&mut state);
         }
     }
 
     /// Ends if nothing is owed.
-    pub(super) fn give_way(&self) {
-        self.leave(&mut lock(&self.state));
+    pub(super) fn evict(&self) {
+        self.close_if_settled(&mut lock(&self.state));
     }
 
     pub(super) fn close(&self) {
         let mut state = lock(&self.state);
         state.closed = true;
-        state.queue.clear();
-        self.answered.notify_all();
-        if !state.moved {
+        state.replies.clear();
+        self.progress.notify_all();
+        if !state.handed_over {
             _ = self.stream.shutdown(Shutdown::Both);
         }
     }
 }
 
 /// The agent has closed its connection, whether or not all that it sent has been read.
-pub(super) fn hung_up(stream: &TcpStream) -> bool {
+pub(super) fn peer_hung_up(stream: &TcpStream) -> bool {
     let mut one = [PollFd::new(stream, PollFlags::RDHUP)];
     let now = Timespec { tv_sec: 0, tv_nsec: 0 };
     poll(&mut one, Some(&now)).is_ok()
--- a/src/net/front/hand_over.rs
+++ b/src/net/front/hand_over.rs
@@ -1,6 +1,6 @@
 //! Connections that move to another process, or come from one.
 
-use super::connection::Link;
+use super::connection::ClientConnection;
 use super::protocol::ClientProtocol;
 use super::Front;
 use crate::net::lock;
@@ -16,37 +16,37 @@
     /// Hands over each connection as soon as what was asked on it is answered, or none any more.
     pub fn hand_over(&self, to: Option<ConnectionHandOver>) {
         let hands = to.is_some();
-        *lock(&self.pass) = to;
-        _ = self.wake.as_ref().map(|wake| wake.set(hands));
+        *lock(&self.hand_over_to) = to;
+        _ = self.read_interrupt.as_ref().map(|interrupt| interrupt.set(hands));
         self.close_if_closing();
     }
 
     /// A connection that another process has served so far, with what was read from it.
     pub fn adopt(self: &Arc<Self>, stream: TcpStream, read: Vec<u8>) {
-        if let Err(fault) = self.serve(stream, Some(read)) {
+        if let Err(fault) = self.start_connection(stream, Some(read)) {
             warn!(self.log, "agent connection dropped"; "fault" => %fault);
         }
     }
 }
 
-impl<P: ClientProtocol> Link<P> {
+impl<P: ClientProtocol> ClientConnection<P> {
     /// Waits until nothing is owed on the connection, and takes it from all but the one who asks. False if it ends.
-    pub(super) fn settled(&self) -> bool {
+    pub(super) fn detach_when_settled(&self) -> bool {
         let state = lock(&self.state);
-        let wait = self.answered.wait_while(state, |state| state.owed > 0 && !state.closed);
+        let wait = self.progress.wait_while(state, |state| state.unanswered > 0 && !state.closed);
         let mut state = wait.unwrap_or_else(PoisonError::into_inner);
-        let whole = !state.closed && !state.leaving;
-        (state.closed, state.moved) = (true, whole);
+        let whole = !state.closed && !state.closing_when_read;
+        (state.closed, state.handed_over) = (true, whole);
         whole
     }
 
     /// It was not handed over after all; false if it ends.
-    pub(super) fn stays(&self) -> bool {
+    pub(super) fn reattach(&self) -> bool {
         let mut state = lock(&self.state);
-        if !std::mem::take(&mut state.moved) {
+        if !std::mem::take(&mut state.handed_over) {
             return false;
         }
-        (state.closed, state.held_back, state.idle_since) = (false, true, Instant::now());
+        (state.closed, state.reading_was_paused, state.last_activity) = (false, true, Instant::now());
         true
     }
 }
--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -25,7 +25,7 @@
 use crate::figures::Figures;
 use crate::limiter::Input;
 use crate::log_throttle::LogThrottle;
-use connection::Link;
+use connection::ClientConnection;
 use slog::Logger;
 use std::collections::HashMap;
 use std::io;
@@ -37,27 +37,27 @@
 /// A front.
 pub struct Front<P: ClientProtocol> {
     protocol: P,
-    most: AtomicUsize,
+    max_connections: AtomicUsize,
     /// Connections can be handed over; ends the waiting of their readers.
-    wake: Option<ReadInterrupt>,
+    read_interrupt: Option<ReadInterrupt>,
     /// Where to, while they are.
-    pass: Mutex<Option<ConnectionHandOver>>,
+    hand_over_to: Mutex<Option<ConnectionHandOver>>,
     /// No connection is accepted.
-    paused: Mutex<bool>,
-    unpaused: Condvar,
-    queue: Queue<P::Upstream>,
+    accept_paused: Mutex<bool>,
+    accept_resumed: Condvar,
+    core: Queue<P::Upstream>,
     figures: Arc<Figures>,
     ready: AtomicBool,
     closing: AtomicBool,
-    numbers: AtomicU64,
-    links: Mutex<HashMap<u64, Arc<Link<P>>>>,
+    next_number: AtomicU64,
+    connections: Mutex<HashMap<u64, Arc<ClientConnection<P>>>>,
     /// A connection has ended.
-    freed: Condvar,
+    connection_ended: Condvar,
     /// There is a connection to watch over.
-    opened: Condvar,
+    connection_opened: Condvar,
     log: Logger,
-    complaints: LogThrottle,
-    full: LogThrottle,
+    malformed_log: LogThrottle,
+    full_log: LogThrottle,
 }
 
 impl<P: ClientProtocol> Front<P> {
@@ -65,54 +65,54 @@
     pub fn new(
         protocol: P,
         most: usize,
-        wake: Option<ReadInterrupt>,
-        queue: Queue<P::Upstream>,
+        read_interrupt: Option<ReadInterrupt>,
+        core: Queue<P::Upstream>,
         figures: Arc<Figures>,
         log: Logger,
     ) -> Arc<Self> {
         Arc::new(Self {
             protocol,
-            most: AtomicUsize::new(most),
-            wake,
-            pass: Mutex::default(),
-            paused: Mutex::default(),
-            unpaused: Condvar::new(),
-            queue,
+            max_connections: AtomicUsize::new(most),
+            read_interrupt,
+            hand_over_to: Mutex::default(),
+            accept_paused: Mutex::default(),
+            accept_resumed: Condvar::new(),
+            core,
             figures,
             ready: AtomicBool::new(false),
             closing: AtomicBool::new(false),
-            numbers: AtomicU64::new(0),
-            links: Mutex::default(),
-            freed: Condvar::new(),
-            opened: Condvar::new(),
+            next_number: AtomicU64::new(0),
+            connections: Mutex::default(),
+            connection_ended: Condvar::new(),
+            connection_opened: Condvar::new(),
             log,
-            complaints: LogThrottle::default(),
-            full: LogThrottle::default(),
+            malformed_log: LogThrottle::default(),
+            full_log: LogThrottle::default(),
         })
     }
 
     /// Starts to take connections.
     pub fn listen(self: &Arc<Self>, listener: TcpListener) -> io::Result<()> {
         let front = self.clone();
-        spawn("agents", move || front.accept(&listener))?;
+        spawn("agents", move || front.run_accept_loop(&listener))?;
         let front = self.clone();
-        spawn("agents-watch", move || front.watch())
+        spawn("agents-watch", move || front.run_watchdog())
     }
 
     /// Takes connections, or none for now: they wait for whoever else accepts from the listener.
     pub fn set_accepting(&self, goes_on: bool) {
-        *lock(&self.paused) = !goes_on;
-        self.unpaused.notify_all();
+        *lock(&self.accept_paused) = !goes_on;
+        self.accept_resumed.notify_all();
     }
 
     /// From now on so many connections at most.
     pub fn set_max_connections(&self, most: usize) {
-        self.most.store(most, Ordering::Relaxed);
+        self.max_connections.store(most, Ordering::Relaxed);
     }
 
     /// No connection is left.
     pub fn is_empty(&self) -> bool {
-        lock(&self.links).is_empty()
+        lock(&self.connections).is_empty()
     }
 
     /// From now on the front says that it is ready.
@@ -134,47 +134,49 @@
     /// Closes what owes nothing and on which no command is on its way, if all are to be closed.
     fn close_if_closing(&self) {
         if self.is_closing() {
-            lock(&self.links).values().for_each(|link| link.close_if_idle());
+            lock(&self.connections).values().for_each(|connection| connection.close_unless_busy());
         }
     }
 
     /// Connections are to be closed once they owe nothing, and not handed over.
     fn is_closing(&self) -> bool {
-        self.closing.load(Ordering::SeqCst) && lock(&self.pass).is_none()
+        self.closing.load(Ordering::SeqCst) && lock(&self.hand_over_to).is_none()
     }
 
     /// Some agent is in the middle of a command.
     pub fn has_partial_command(&self) -> bool {
-        lock(&self.links).values().any(|link| lock(&link.state).is_coming())
+        lock(&self.connections).values().any(|connection| lock(&connection.state).command_may_be_coming())
     }
 
     /// Waits until every connection has ended, or for so long.
     pub fn wait_closed(&self, most: Duration) {
-        let links = lock(&self.links);
-        _ = self.freed.wait_timeout_while(links, most, |links| !links.is_empty());
+        let connections = lock(&self.connections);
+        _ = self
+            .connection_ended
+            .wait_timeout_while(connections, most, |connections| !connections.is_empty());
     }
 
     /// Closes a connection, and lets another take its place.
-    fn end(&self, number: u64, link: &Link<P>) {
-        self.left(link);
-        link.close();
-        lock(&self.links).remove(&number);
-        self.freed.notify_all();
+    fn close_connection(&self, number: u64, connection: &ClientConnection<P>) {
+        self.abandon_requests(connection);
+        connection.close();
+        lock(&self.connections).remove(&number);
+        self.connection_ended.notify_all();
     }
 
     /// The agent has gone away: nobody waits for what is still open.
-    fn left(&self, link: &Link<P>) {
-        let mut state = lock(&link.state);
+    fn abandon_requests(&self, connection: &ClientConnection<P>) {
+        let mut state = lock(&connection.state);
         state.closed = true;
-        let left = std::mem::take(&mut state.waiting);
+        let left = std::mem::take(&mut state.open_requests);
         drop(state);
-        self.tell_left(left);
+        self.report_abandoned(left);
     }
 
     /// All at once: told one after another, a request that waits would be sent on in the place of the one before it.
-    fn tell_left(&self, left: Vec<u64>) {
+    fn report_abandoned(&self, left: Vec<u64>) {
         if !left.is_empty() {
-            _ = self.queue.send(Input::Left(left));
+            _ = self.core.send(Input::Left(left));
         }
     }
 }
--- a/src/net/front/session.rs
+++ b/src/net/front/session.rs
@@ -1,8 +1,8 @@
 //! What the reader of a connection hands its commands to.
 
-use super::connection::{Link, Owed};
+use super::connection::{ClientConnection, PendingReply};
 use super::protocol::{ClientProtocol, CloseReason, Reply, ReplySlot, ValueOf};
-use super::watchdog::PATIENCE;
+use super::watchdog::COMMAND_TIMEOUT;
 use super::Front;
 use crate::limiter::{Incoming, Input};
 use crate::net::lock;
@@ -15,12 +15,12 @@
 use std::time::{Duration, Instant};
 
 /// Commands of one connection that wait for their answers; an agent that writes more has gone too far.
-const PIPELINED: usize = 64;
+const MAX_PIPELINED: usize = 64;
 
 /// What the reader of a connection hands its commands to.
 pub struct Session<'a, P: ClientProtocol> {
     pub(super) front: &'a Arc<Front<P>>,
-    pub(super) link: &'a Arc<Link<P>>,
+    pub(super) connection: &'a Arc<ClientConnection<P>>,
     pub(super) number: u64,
 }
 
@@ -32,36 +32,36 @@
         context: P::ReplyContext,
         class: usize,
     ) -> Option<(u64, ReplySlot<ValueOf<P>>)> {
-        if self.link.has_left() {
+        if self.connection.peer_has_left() {
             return None;
         }
-        let number = self.front.numbers.fetch_add(1, Ordering::Relaxed);
-        let owed = self.link.begin()?;
-        let tally = Some(self.front.figures.taken(class));
-        if owed > PIPELINED {
+        let number = self.front.next_number.fetch_add(1, Ordering::Relaxed);
+        let unanswered = self.connection.begin_command()?;
+        let in_flight = Some(self.front.figures.taken(class));
+        if unanswered > MAX_PIPELINED {
             self.dismiss(CloseReason::TooMany);
             return None;
         }
-        let mut state = lock(&self.link.state);
-        state.asked = true;
-        state.queue.push_back(Owed { number, context, reply: None, tally });
+        let mut state = lock(&self.connection.state);
+        state.has_requested = true;
+        state.replies.push_back(PendingReply { number, context, reply: None, in_flight });
         drop(state);
-        let (front, link, own) = (self.front.clone(), self.link.clone(), self.number);
+        let (front, connection, own) = (self.front.clone(), self.connection.clone(), self.number);
         let fill = move |reply| {
-            let mut state = lock(&link.state);
-            if let Some(owed) = state.queue.iter_mut().find(|owed| owed.number == number) {
-                owed.reply = Some(reply);
+            let mut state = lock(&connection.state);
+            if let Some(pending) = state.replies.iter_mut().find(|pending| pending.number == number) {
+                pending.reply = Some(reply);
             }
-            front.begin_writing(own, &link, state);
+            front.start_writer(own, &connection, state);
         };
         Some((number, ReplySlot::new(fill)))
     }
 
     /// Replies without asking the core, in the order of commands; false if the connection is closing.
     pub fn reply_directly(&self, context: P::ReplyContext, words: Reply<ValueOf<P>>) -> bool {
-        match self.link.begin() {
+        match self.connection.begin_command() {
             None => false,
-            Some(owed) if owed > PIPELINED => {
+            Some(unanswered) if unanswered > MAX_PIPELINED => {
                 self.dismiss(CloseReason::TooMany);
                 false
             }
@@ -72,7 +72,7 @@
     /// Sends the last reply: what comes after can't be told apart or is not wanted. Whatever was asked before is
     /// answered first, but not for longer than an agent may be kept waiting for these.
     pub fn reply_and_close(&self, context: P::ReplyContext, words: Vec<u8>, fault: &str) {
-        if self.link.begin().is_some() {
+        if self.connection.begin_command().is_some() {
             self.last(context, words, fault);
         }
     }
@@ -84,9 +84,9 @@
 
     fn last(&self, context: P::ReplyContext, text: Vec<u8>, fault: &str) {
         self.log_malformed(fault);
-        let mut state = lock(&self.link.state);
+        let mut state = lock(&self.connection.state);
         state.closed = true;
-        state.spoilt = Some(state.opened + PATIENCE);
+        state.give_up_at = Some(state.opened_at + COMMAND_TIMEOUT);
         drop(state);
         self.put(context, Reply::Direct { text, last: true });
     }
@@ -94,15 +94,22 @@
     /// With nothing before them, words are written at once.
     fn put(&self, context: P::ReplyContext, words: Reply<ValueOf<P>>) -> bool {
         let closing = self.front.is_closing();
-        let mut state = lock(&self.link.state);
+        let mut state = lock(&self.connection.state);
         match words {
-            Reply::Direct { text, last } if !state.writing && state.queue.is_empty() => {
+            Reply::Direct { text, last } if !state.writer_running && state.replies.is_empty() => {
                 drop(state);
-                (&self.link.stream).write_all(&text).is_ok() && self.link.end(0, closing) && !last
+                (&self.connection.stream).write_all(&text).is_ok()
+                    && self.connection.end_command(0, closing)
+                    && !last
             }
             words => {
-                state.queue.push_back(Owed { number: 0, context, reply: Some(words), tally: None });
-                self.front.begin_writing(self.number, self.link, state);
+                state.replies.push_back(PendingReply {
+                    number: 0,
+                    context,
+                    reply: Some(words),
+                    in_flight: None,
+                });
+                self.front.start_writer(self.number, self.connection, state);
                 true
             }
         }
@@ -110,15 +117,15 @@
 
     /// More of a command has come, and it is not whole.
     pub fn note_partial_command(&self) {
-        let mut state = lock(&self.link.state);
-        (state.pieces, state.idle_since) = (state.pieces.saturating_add(1), Instant::now());
-        state.half.get_or_insert_with(Instant::now);
+        let mut state = lock(&self.connection.state);
+        (state.partial_reads, state.last_activity) = (state.partial_reads.saturating_add(1), Instant::now());
+        state.incomplete_since.get_or_insert_with(Instant::now);
     }
 
     /// Reads nothing for a while.
     pub fn pause_reading(&self, wait: Duration) {
         thread::sleep(wait);
-        lock(&self.link.state).held_back = true;
+        lock(&self.connection.state).reading_was_paused = true;
     }
 
     /// A request of this class is answered as failed by the front itself.
@@ -129,9 +136,9 @@
     /// Passes a request to the core.
     pub fn submit(&self, request: Incoming<Wiring<P::Upstream>>) {
         // Under one lock: told between the two that its agent has left, the core would not know the request.
-        let mut state = lock(&self.link.state);
-        state.waiting.push(request.number);
-        _ = self.front.queue.send(Input::Request(request));
+        let mut state = lock(&self.connection.state);
+        state.open_requests.push(request.number);
+        _ = self.front.core.send(Input::Request(request));
     }
 
     /// The limiter knows a node list.
@@ -141,7 +148,7 @@
 
     /// Logs what is wrong with an agent's input, but not every time.
     pub fn log_malformed(&self, fault: &str) {
-        if let Some(more) = self.front.complaints.permit() {
+        if let Some(more) = self.front.malformed_log.permit() {
             info!(self.front.log, "malformed command"; "fault" => fault, "unlogged" => more);
         }
     }
--- a/src/net/front/writer.rs
+++ b/src/net/front/writer.rs
@@ -1,8 +1,8 @@
 //! The thread that writes the answers of a connection, in the order of its commands.
 
-use super::connection::{Link, LinkState, Owed};
+use super::connection::{ClientConnection, ConnectionState, PendingReply};
 use super::protocol::{ClientProtocol, Reply, ValueOf};
-use super::reader::LINGER;
+use super::reader::CLOSE_LINGER;
 use super::Front;
 use crate::figures::{InFlightRequest, RequestOutcome};
 use crate::limiter::Answer;
@@ -17,28 +17,28 @@
     ///
     /// Guards against a thread for each connection or request that waits: a system that stops and continues a process, as
     /// for its part of a processor, does so with each of its threads.
-    pub(super) fn begin_writing(
+    pub(super) fn start_writer(
         self: &Arc<Self>,
         number: u64,
-        link: &Arc<Link<P>>,
-        mut state: MutexGuard<LinkState<P>>,
+        connection: &Arc<ClientConnection<P>>,
+        mut state: MutexGuard<ConnectionState<P>>,
     ) {
-        if state.writing || state.queue.front().is_none_or(|owed| owed.reply.is_none()) {
+        if state.writer_running || state.replies.front().is_none_or(|pending| pending.reply.is_none()) {
             return;
         }
-        state.writing = true;
+        state.writer_running = true;
         drop(state);
-        let (front, own) = (self.clone(), link.clone());
-        if let Err(fault) = spawn("agent-write", move || front.write(number, &own)) {
+        let (front, own) = (self.clone(), connection.clone());
+        if let Err(fault) = spawn("agent-write", move || front.run_writer(number, &own)) {
             warn!(self.log, "agent connection dropped"; "fault" => %fault);
-            self.end(number, link);
+            self.close_connection(number, connection);
         }
     }
 
     /// Writes answers in order while they are there.
-    pub(super) fn write(&self, number: u64, link: &Link<P>) {
+    pub(super) fn run_writer(&self, number: u64, connection: &ClientConnection<P>) {
         let by_choice = loop {
-            let (number, context, reply, tally) = match link.next() {
+            let (number, context, reply, in_flight) = match connection.next_reply() {
                 Ok(owed) => owed,
                 Err(true) => return,
                 Err(false) => break false,
@@ -46,40 +46,45 @@
             let goes_on = match reply {
                 Reply::Answer(answer) => {
                     let end = end(&answer);
-                    let written = self.protocol.write(&link.stream, context, answer);
-                    tally.filter(|_| written.is_ok()).into_iter().for_each(|tally| tally.finish(end));
+                    let written = self.protocol.write(&connection.stream, context, answer);
+                    in_flight
+                        .filter(|_| written.is_ok())
+                        .into_iter()
+                        .for_each(|in_flight| in_flight.finish(end));
                     written
                 }
-                Reply::Direct { text, last } => (&link.stream).write_all(&text).map(|()| !last),
+                Reply::Direct { text, last } => (&connection.stream).write_all(&text).map(|()| !last),
             };
             match goes_on {
-                Ok(true) if link.end(number, self.is_closing()) => {}
+                Ok(true) if connection.end_command(number, self.is_closing()) => {}
                 Ok(_) => break true,
                 Err(_) => break false,
             }
         };
         if by_choice {
             // The agent is told by the end of sending, and gets a moment to read what it was told.
-            _ = link.stream.shutdown(Shutdown::Write);
-            let state = lock(&link.state);
-            drop(link.answered.wait_timeout_while(state, LINGER, |state| state.reading));
+            _ = connection.stream.shutdown(Shutdown::Write);
+            let state = lock(&connection.state);
+            drop(connection.progress.wait_timeout_while(state, CLOSE_LINGER, |state| state.reader_running));
         }
         // Ends the reader too, which tells of what is still open.
-        self.end(number, link);
+        self.close_connection(number, connection);
     }
 }
 
-impl<P: ClientProtocol> Link<P> {
+impl<P: ClientProtocol> ClientConnection<P> {
     /// What is to be written next; none if it is not there, and whether it may be later.
     #[allow(clippy::type_complexity)]
-    fn next(&self) -> Result<(u64, P::ReplyContext, Reply<ValueOf<P>>, Option<InFlightRequest>), bool> {
+    fn next_reply(&self) -> Result<(u64, P::ReplyContext, Reply<ValueOf<P>>, Option<InFlightRequest>), bool> {
         let mut state = lock(&self.state);
-        let later = state.taking || !state.queue.is_empty();
-        match state.queue.pop_front() {
-            Some(Owed { number, context, reply: Some(reply), tally }) => Ok((number, context, reply, tally)),
+        let later = state.accepts_commands || !state.replies.is_empty();
+        match state.replies.pop_front() {
+            Some(PendingReply { number, context, reply: Some(reply), in_flight }) => {
+                Ok((number, context, reply, in_flight))
+            }
             waits => {
-                waits.into_iter().for_each(|owed| state.queue.push_front(owed));
-                state.writing = !later;
+                waits.into_iter().for_each(|pending| state.replies.push_front(pending));
+                state.writer_running = !later;
                 Err(later)
             }
         }
