--- a/src/net/front/accept.rs
+++ b/src/net/front/accept.rs
@@ -5,7 +5,6 @@
 use super::Front;
 use crate::net::{lock, spawn};
 use slog::warn;
-use std::collections::VecDeque;
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
@@ -57,19 +56,8 @@
         let began = Instant::now();
         let mut connections = lock(&self.connections);
         while connections.len() >= self.max_connections.load(Ordering::Relaxed) {
-            let idle = |l: &ClientConnection<P>| {
-                let state = lock(&l.state);
-                let quiet = state.last_activity.elapsed();
-                let place = match (state.has_requested, state.is_sending()) {
-                    (false, false) => 0,
-                    (true, false) if quiet >= EVICTABLE_AFTER => 1,
-                    _ => 2,
-                };
-                (state.unanswered == 0 && !state.closed && !state.closing_when_read)
-                    .then_some((place, state.last_activity))
-            };
-            let oldest = connections.values().filter_map(|l| Some((idle(l)?, l))).min_by_key(|(at, _)| *at);
-            if let Some((_, connection)) = oldest {
+            let evictable = connections.values().filter_map(|c| Some((c.eviction_order()?, c)));
+            if let Some((_, connection)) = evictable.min_by_key(|(order, _)| *order) {
                 connection.evict();
             } else if began.elapsed() >= ROOM_TIMEOUT {
                 if let Some(more) = self.full_log.permit() {
@@ -94,25 +82,7 @@
     ) -> io::Result<()> {
         stream.set_nodelay(true)?;
         stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
-        let now = Instant::now();
-        let state = ConnectionState {
-            replies: VecDeque::new(),
-            writer_running: false,
-            accepts_commands: true,
-            reader_running: true,
-            open_requests: Vec::new(),
-            unanswered: 0,
-            closed: false,
-            closing_when_read: false,
-            reading_was_paused: true,
-            handed_over: false,
-            has_requested: read.is_some(),
-            partial_reads: 0,
-            incomplete_since: read.is_none().then_some(now),
-            give_up_at: None,
-            opened_at: now,
-            last_activity: now,
-        };
+        let state = ConnectionState::new(read.is_some());
         let connection =
             Arc::new(ClientConnection { stream, state: Mutex::new(state), progress: Condvar::new() });
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
@@ -126,3 +96,20 @@
         begun
     }
 }
+
+impl<P: ClientProtocol> ClientConnection<P> {
+    /// Its place among the connections that may be closed for others, the least first; none if it may not.
+    fn eviction_order(&self) -> Option<(u8, Instant)> {
+        let state = lock(&self.state);
+        if state.unanswered > 0 || state.closed || state.closing_when_read {
+            return None;
+        }
+        let idle = state.last_activity.elapsed();
+        let rank = match (state.has_requested, state.is_sending()) {
+            (false, false) => 0,
+            (true, false) if idle >= EVICTABLE_AFTER => 1,
+            _ => 2,
+        };
+        Some((rank, state.last_activity))
+    }
+}
--- a/src/net/front/connection.rs
+++ b/src/net/front/connection.rs
@@ -70,6 +70,34 @@
 }
 
 impl<P: ClientProtocol> ConnectionState<P> {
+    /// State of a connection that has just come: from a client, or from another process (`adopted`).
+    pub(super) fn new(adopted: bool) -> Self {
+        let now = Instant::now();
+        Self {
+            replies: VecDeque::new(),
+            writer_running: false,
+            accepts_commands: true,
+            reader_running: true,
+            open_requests: Vec::new(),
+            unanswered: 0,
+            closed: false,
+            closing_when_read: false,
+            reading_was_paused: true,
+            handed_over: false,
+            has_requested: adopted,
+            partial_reads: 0,
+            incomplete_since: (!adopted).then_some(now),
+            give_up_at: None,
+            opened_at: now,
+            last_activity: now,
+        }
+    }
+
+    /// There are replies that are not written yet.
+    pub(super) fn has_replies_to_write(&self) -> bool {
+        self.writer_running || !self.replies.is_empty()
+    }
+
     /// The agent is in the middle of a command, and goes on: one piece and no more is what a crowd sends.
     pub(super) fn is_sending(&self) -> bool {
         self.partial_reads > 1 && self.last_activity.elapsed() < SENDING_WINDOW
--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -1,10 +1,11 @@
-//! A front: connections of agents, and answers in the order of what was asked.
+//! A front: accepts connections of clients and writes replies in the order of the commands.
 //!
-//! Each connection has a thread that reads and, while there are answers to be written, one that writes. They are written
-//! in the order of the commands, and a slow or broken agent holds up its own connection alone. What the connections speak is a [`ClientProtocol`].
+//! Each connection has a thread that reads and, while there are replies to be written, one that writes: a slow or
+//! broken client holds up its own connection alone. How commands are read and replies written is a
+//! [`ClientProtocol`].
 //!
-//! One more thread watches over all connections: what never completes a command, or is held for good after its
-//! last answer, is closed, and whoever sends what can't be read is not kept waiting behind an answer.
+//! One more thread, the watchdog, closes connections on which no command becomes whole or that are held for long
+//! after their last reply.
 
 mod accept;
 mod connection;
--- a/src/net/front/writer.rs
+++ b/src/net/front/writer.rs
@@ -12,6 +12,24 @@
 use std::net::Shutdown;
 use std::sync::{Arc, MutexGuard};
 
+/// What a writer finds at the head of the replies.
+enum NextReply<P: ClientProtocol> {
+    /// A reply.
+    Ready(ReadyReply<P>),
+    /// No reply yet; whoever brings one starts a writer.
+    Later,
+    /// None, and none will come: the writer ends the connection.
+    Never,
+}
+
+/// A reply that can be written.
+struct ReadyReply<P: ClientProtocol> {
+    number: u64,
+    context: P::ReplyContext,
+    reply: Reply<ValueOf<P>>,
+    in_flight: Option<InFlightRequest>,
+}
+
 impl<P: ClientProtocol> Front<P> {
     /// Has answers written if the next is there, by a thread that is there while there are any.
     ///
@@ -38,19 +56,19 @@
     /// Writes answers in order while they are there.
     pub(super) fn run_writer(&self, number: u64, connection: &ClientConnection<P>) {
         let by_choice = loop {
-            let (number, context, reply, in_flight) = match connection.next_reply() {
-                Ok(owed) => owed,
-                Err(true) => return,
-                Err(false) => break false,
+            let ReadyReply { number, context, reply, in_flight } = match connection.next_reply() {
+                NextReply::Ready(ready) => ready,
+                NextReply::Later => return,
+                NextReply::Never => break false,
             };
             let goes_on = match reply {
                 Reply::Answer(answer) => {
-                    let end = end(&answer);
+                    let outcome = outcome(&answer);
                     let written = self.protocol.write(&connection.stream, context, answer);
                     in_flight
                         .filter(|_| written.is_ok())
                         .into_iter()
-                        .for_each(|in_flight| in_flight.finish(end));
+                        .for_each(|in_flight| in_flight.finish(outcome));
                     written
                 }
                 Reply::Direct { text, last } => (&connection.stream).write_all(&text).map(|()| !last),
@@ -73,26 +91,28 @@
 }
 
 impl<P: ClientProtocol> ClientConnection<P> {
-    /// What is to be written next; none if it is not there, and whether it may be later.
-    #[allow(clippy::type_complexity)]
-    fn next_reply(&self) -> Result<(u64, P::ReplyContext, Reply<ValueOf<P>>, Option<InFlightRequest>), bool> {
+    /// The reply to be written next.
+    fn next_reply(&self) -> NextReply<P> {
         let mut state = lock(&self.state);
         let later = state.accepts_commands || !state.replies.is_empty();
         match state.replies.pop_front() {
             Some(PendingReply { number, context, reply: Some(reply), in_flight }) => {
-                Ok((number, context, reply, in_flight))
+                NextReply::Ready(ReadyReply { number, context, reply, in_flight })
             }
-            waits => {
-                waits.into_iter().for_each(|pending| state.replies.push_front(pending));
+            not_ready => {
+                not_ready.into_iter().for_each(|pending| state.replies.push_front(pending));
                 state.writer_running = !later;
-                Err(later)
+                match later {
+                    true => NextReply::Later,
+                    false => NextReply::Never,
+                }
             }
         }
     }
 }
 
 /// How an answer is counted once it is written whole.
-fn end<V>(answer: &Answer<V>) -> RequestOutcome {
+fn outcome<V>(answer: &Answer<V>) -> RequestOutcome {
     match answer {
         Answer::Served(_) => RequestOutcome::Served,
         Answer::Refused { .. } => RequestOutcome::Refused,
