--- a/src/net/front/session.rs
+++ b/src/net/front/session.rs
@@ -138,7 +138,11 @@
         // Under one lock: told between the two that its agent has left, the core would not know the request.
         let mut state = lock(&self.connection.state);
         state.open_requests.push(request.number);
-        _ = self.front.core.send(Input::Request(request));
+        let unsent = self.front.core.send(Input::Request(request));
+        // A core that has ended takes no request: it comes back, and as it is dropped it answers itself, which takes the
+        // same lock.
+        drop(state);
+        drop(unsent);
     }
 
     /// The limiter knows a node list.
