--- a/tests/cold_ramp.rs
+++ b/tests/cold_ramp.rs
@@ -149,10 +149,10 @@
         number += 1;
         while timers < now {
             timers += SECOND / 20;
-            for limiter in 0..count {
+            for (limiter, knows) in told.iter_mut().enumerate() {
                 let hears = RESTART + if late(limiter) { LATE } else { 0 };
-                if !told[limiter] && timers >= hears {
-                    told[limiter] = true;
+                if !*knows && timers >= hears {
+                    *knows = true;
                     let members = servers(true)[..COLD].to_vec();
                     fleet.give(limiter, timers, Event::Members { scope: Scope::Changes, members });
                 }
