--- a/src/net/node_list.rs
+++ b/src/net/node_list.rs
@@ -206,10 +206,11 @@
         match config::node_news(value) {
             Ok(told) => {
                 let told = NodeNews { full: told.full || whole, ..told };
-                info!(self.log, "node list news"; "generation" => told.generation, "full" => told.full,
-                    "nodes" => told.nodes.len());
-                (self.generation, self.call) = (Some(told.generation), Call::Heard);
+                let (generation, full, nodes) = (told.generation, told.full, told.nodes.len());
+                (self.generation, self.call) = (Some(generation), Call::Heard);
                 (self.news)(told);
+                // Logged once it holds: whoever reads the line may count on it.
+                info!(self.log, "node list news"; "generation" => generation, "full" => full, "nodes" => nodes);
                 Ok(())
             }
             Err(fault) => Err(self.unreadable(&fault)),
