No attempt begins once its client has closed its connection, whoever reads from it

Cause: that a client has left is told to the core by the thread that reads from it. Where that thread rests (after what it could not understand) or waits (for a hand-over) the watch looks each 0.2 s; and what either tells waits in the core's queue.

Change: the thread that is about to write an attempt looks at the client's connection (one poll, no wait). If the client has closed it nothing is written, no judgement falls on the node, and the new or rested connection is kept.

The story of a client that leaves while its request waits for the counter could not fail: the limiter of that story refused the claim whatever the counter said. Both stories now use one that is served if its client stays, and one of them shows it.

--- a/src/limiter/mod.rs
+++ b/src/limiter/mod.rs
@@ -74,8 +74,15 @@
     type Value;
     /// Gives a request its final answer.
     fn answer(&mut self, client: Self::Client, answer: Answer<Self::Value>);
-    /// Starts an attempt.
-    fn start(&mut self, attempt: AttemptId, node: &ServerId, call: &Arc<Self::Call>, wait: Wait);
+    /// Starts an attempt for this client, of which nothing is written once the client has closed its connection.
+    fn start(
+        &mut self,
+        attempt: AttemptId,
+        node: &ServerId,
+        call: &Arc<Self::Call>,
+        wait: Wait,
+        client: &Self::Client,
+    );
     /// Gives an attempt up; whatever it still brings is dropped. False if not a byte of it was written: it never
     /// ran and never will.
     fn cancel(&mut self, attempt: AttemptId) -> bool;
@@ -740,16 +747,17 @@
         let attempt = AttemptId { request, attempt: open.attempts };
         open.attempts += 1;
         let left = open.deadline.saturating_sub(now);
-        if left == 0 || open.attempts > self.max_attempts {
+        let client = open.client.as_ref().filter(|_| left > 0 && open.attempts <= self.max_attempts);
+        let Some(client) = client else {
             let attempt = attempt.attempt;
             let (outcome, load) = (Outcome::Moot, Vec::new());
             let ended =
                 Ended { id, attempt, server: node, outcome, took: 0, last: false, load, settled: None };
             return self.events.push_back(Event::Outcome(ended));
-        }
+        };
         let ends = now + if timeout == 0 { left } else { timeout.min(left) };
         let wait = Wait { ends: self.clock.moment(ends), by: self.clock.moment(by.min(ends)) };
-        self.edges.start(attempt, &node, &open.call, wait);
+        self.edges.start(attempt, &node, &open.call, wait, client);
         self.out.insert(attempt, Out { node, account: open.account.clone(), sent: now });
         self.timers.set(ends, Due::Attempt(attempt));
     }
--- a/src/net/front/connection.rs
+++ b/src/net/front/connection.rs
@@ -3,6 +3,7 @@
 use super::protocol::{Manner, Reply, ValueOf};
 use crate::figures::Tally;
 use crate::net::lock;
+use crate::net::ticket_nodes::Presence;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::collections::VecDeque;
 use std::net::{Shutdown, TcpStream};
@@ -118,7 +119,7 @@
     }
 
     /// The agent left while it was not read from. Seen once reading goes on, before a request of its is taken.
-    pub(super) fn has_left(&self) -> bool {
+    pub(super) fn left_unread(&self) -> bool {
         let mut state = lock(&self.state);
         let left = std::mem::take(&mut state.held_back) && !state.leaving && hung_up(&self.stream);
         state.closed |= left;
@@ -149,6 +150,14 @@
     }
 }
 
+impl<M: Manner> Presence for Link<M> {
+    /// While the limiter itself ends the connection, the client's own end can't be told from ours.
+    fn has_left(&self) -> bool {
+        let leaving = lock(&self.state).leaving;
+        !leaving && hung_up(&self.stream)
+    }
+}
+
 /// The agent has closed its connection, whether or not all that it sent has been read.
 pub(super) fn hung_up(stream: &TcpStream) -> bool {
     let mut one = [PollFd::new(stream, PollFlags::RDHUP)];
--- a/src/net/front/protocol.rs
+++ b/src/net/front/protocol.rs
@@ -1,11 +1,12 @@
 //! What a front is told of the protocol of its connections, and what it is given to write.
 
 use super::super::tap::Tap;
-use super::super::ticket_nodes::Speech;
+use super::super::ticket_nodes::{Presence, Speech};
 use super::session::Desk;
 use crate::limiter::Answer;
 use std::io;
 use std::net::TcpStream;
+use std::sync::Arc;
 
 /// What the connections of a front speak.
 pub trait Manner: Send + Sync + Sized + 'static {
@@ -47,16 +48,24 @@
 }
 
 /// Where the answer of a request goes; without one, the agent is told that the request failed.
-pub struct Slot<V>(Option<Box<dyn FnOnce(Reply<V>) + Send>>);
+pub struct Slot<V> {
+    fill: Option<Box<dyn FnOnce(Reply<V>) + Send>>,
+    client: Arc<dyn Presence>,
+}
 
 impl<V> Slot<V> {
-    pub(super) fn new(fill: impl FnOnce(Reply<V>) + Send + 'static) -> Self {
-        Self(Some(Box::new(fill)))
+    pub(super) fn new(client: Arc<dyn Presence>, fill: impl FnOnce(Reply<V>) + Send + 'static) -> Self {
+        Self { fill: Some(Box::new(fill)), client }
+    }
+
+    /// Who waits for the answer.
+    pub fn presence(&self) -> Arc<dyn Presence> {
+        self.client.clone()
     }
 
     /// Gives the answer.
     pub fn fill(mut self, reply: Reply<V>) {
-        if let Some(fill) = self.0.take() {
+        if let Some(fill) = self.fill.take() {
             fill(reply);
         }
     }
@@ -64,7 +73,7 @@
 
 impl<V> Drop for Slot<V> {
     fn drop(&mut self) {
-        if let Some(fill) = self.0.take() {
+        if let Some(fill) = self.fill.take() {
             fill(Reply::Answer(Answer::Failed { late: false }));
         }
     }
--- a/src/net/front/session.rs
+++ b/src/net/front/session.rs
@@ -28,7 +28,7 @@
     /// Takes the next place in the order of answers for a request of this class; none if the connection is closing,
     /// and what was read is not taken.
     pub fn place(&self, shape: M::Shape, class: usize) -> Option<(u64, Slot<ValueOf<M>>)> {
-        if self.link.has_left() {
+        if self.link.left_unread() {
             return None;
         }
         let number = self.front.numbers.fetch_add(1, Ordering::Relaxed);
@@ -50,7 +50,7 @@
             }
             front.begin_writing(own, &link, state);
         };
-        Some((number, Slot::new(fill)))
+        Some((number, Slot::new(self.link.clone(), fill)))
     }
 
     /// Says the front's own words in their place; false if the connection is closing.
--- a/src/net/ticket_nodes.rs
+++ b/src/net/ticket_nodes.rs
@@ -121,6 +121,12 @@
     _counted: Counted,
 }
 
+/// The client that an attempt is made for.
+pub trait Presence: Send + Sync {
+    /// It has closed its connection, now or earlier; seen without waiting for whoever reads from it.
+    fn has_left(&self) -> bool;
+}
+
 /// A share in a connection that reads from it.
 pub struct Source(pub Arc<Connection>);
 
@@ -162,7 +168,7 @@
 }
 
 enum Job<C> {
-    Attempt { attempt: AttemptId, call: Arc<C>, wait: Wait, line: Arc<Line> },
+    Attempt { attempt: AttemptId, call: Arc<C>, wait: Wait, line: Arc<Line>, client: Arc<dyn Presence> },
     Probe,
 }
 
@@ -210,10 +216,17 @@
     }
 
     /// Starts an attempt on an idle connection, or on a new one.
-    pub fn start(&self, attempt: AttemptId, node: &ServerId, call: Arc<S::Call>, wait: Wait) {
+    pub fn start(
+        &self,
+        attempt: AttemptId,
+        node: &ServerId,
+        call: Arc<S::Call>,
+        wait: Wait,
+        client: Arc<dyn Presence>,
+    ) {
         let line = Arc::new(Line { node: node.clone(), state: Mutex::default() });
         lock(&self.shared.book).running.insert(attempt, line.clone());
-        if let Err(outcome) = self.give(node, Job::Attempt { attempt, call, wait, line }) {
+        if let Err(outcome) = self.give(node, Job::Attempt { attempt, call, wait, line, client }) {
             lock(&self.shared.book).running.remove(&attempt);
             _ = self.shared.queue.send(Input::Ended { attempt, outcome, load: Vec::new(), value: None });
         }
@@ -329,10 +342,11 @@
     /// Carries out a job and tells of its end.
     fn carry_out(mut self, job: Job<S::Call>) {
         match job {
-            Job::Attempt { attempt, call, wait, line } => {
+            Job::Attempt { attempt, call, wait, line, client } => {
                 let queue = self.shared.queue.clone();
                 let begins = move |value| _ = queue.send(Input::Began { attempt, value });
-                let Exchange { outcome, load, value, keep } = self.attempt(&call, wait, &line, &begins);
+                let Exchange { outcome, load, value, keep } =
+                    self.attempt(&call, wait, &line, &*client, &begins);
                 {
                     let mut book = lock(&self.shared.book);
                     // A cancelled attempt has left the book, and its connection is closed.
@@ -362,9 +376,15 @@
         call: &S::Call,
         wait: Wait,
         line: &Line,
+        client: &dyn Presence,
         begins: &dyn Fn(S::Value),
     ) -> Exchange<S::Value> {
         let Ok(connection) = self.connected() else { return Exchange::broke(Outcome::ConnectFailed) };
+        // Guards against an attempt that begins after its client left: whoever reads from the client may rest, and what it
+        // tells the core waits in a queue. No judgement on the node; its new connection was never used.
+        if client.has_left() {
+            return Exchange { keep: true, ..Exchange::broke(Outcome::Moot) };
+        }
         {
             let mut state = lock(&line.state);
             if state.cancelled {
--- a/src/net/wiring.rs
+++ b/src/net/wiring.rs
@@ -56,8 +56,15 @@
         client.fill(Reply::Answer(answer));
     }
 
-    fn start(&mut self, attempt: AttemptId, node: &ServerId, call: &Arc<S::Call>, wait: Wait) {
-        self.nodes.start(attempt, node, call.clone(), wait);
+    fn start(
+        &mut self,
+        attempt: AttemptId,
+        node: &ServerId,
+        call: &Arc<S::Call>,
+        wait: Wait,
+        client: &Slot<S::Value>,
+    ) {
+        self.nodes.start(attempt, node, call.clone(), wait, client.presence());
     }
 
     fn cancel(&mut self, attempt: AttemptId) -> bool {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -23,7 +23,7 @@
         _ = self.answers.send((client, format!("{answer:?}")));
     }
 
-    fn start(&mut self, attempt: AttemptId, _: &ServerId, _: &Arc<()>, _: Wait) {
+    fn start(&mut self, attempt: AttemptId, _: &ServerId, _: &Arc<()>, _: Wait, _: &Self::Client) {
         _ = self.started.send(attempt);
     }
 
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -119,45 +119,59 @@
 
 // ---- agents that leave ----
 
-/// A request waits behind another, its agent leaves, and the other ends later: it is not sent on.
-fn leaves_in_the_queue(told: impl Fn(&mut Agent)) {
+/// A request and what its client sends behind it, `many` requests with the one that holds them up, wait for a node; the
+/// client does something more and leaves, and the node is free again so much later: nothing of it is sent on.
+fn leaves_in_the_queue(behind: &str, many: usize, told: impl Fn(&mut Agent), free_after: Duration) {
     let (node, gate, seen) = gated("first");
     let limiter = limiter(&patient(quiet_list(), &[("s-1", node)]));
     let mut first = Agent::ready(&limiter);
     first.ask("look", "first", 20_000);
     next(&seen);
     let mut left = Agent::ready(&limiter);
-    left.ask("look", "left", 20_000);
-    in_flight(&limiter, 2);
+    left.say(&(asking("look", "left", 20_000) + behind));
+    in_flight(&limiter, many);
     told(&mut left);
     drop(left);
-    thread::sleep(FOUND_OUT);
+    thread::sleep(free_after);
     gate.open();
     assert_eq!(first.answer(), "first");
     first.ask("look", "after", 20_000);
     assert_eq!(first.answer(), "after");
+    in_flight(&limiter, 0);
     assert_eq!(ids(&seen), ["after"]);
 }
 
 #[test]
 fn a_request_whose_agent_left_while_it_waited_for_a_node_is_not_sent_on() {
-    leaves_in_the_queue(|_| {});
+    leaves_in_the_queue("", 2, |_| {}, FOUND_OUT);
 }
 
 #[test]
 fn nor_is_one_whose_agent_had_more_to_say_than_is_read() {
-    leaves_in_the_queue(|agent| {
+    let told = |agent: &mut Agent| {
         // What can't be read ends the reading; the rest of it is not read up to the agent's end.
         _ = agent.0.get_mut().write_all(b"*x\r\n");
         _ = agent.0.get_mut().write_all(&vec![b'x'; 512 * 1024]);
-    });
+    };
+    leaves_in_the_queue("", 2, told, FOUND_OUT);
 }
 
 #[test]
 fn nor_are_those_behind_it_on_its_connection() {
-    leaves_in_the_queue(|agent| {
+    let told = |agent: &mut Agent| {
         ["pay", "look", "hold"].iter().for_each(|class| agent.ask(class, &format!("left-{class}"), 20_000));
-    });
+    };
+    leaves_in_the_queue("", 2, told, FOUND_OUT);
+}
+
+#[test]
+fn nothing_is_sent_on_from_the_moment_at_which_its_client_left_though_nobody_reads_from_it() {
+    // The reader rests, with nothing, further requests of the client or half of one behind the request that waits.
+    let further = asking("pay", "behind", 20_000) + &asking("hold", "last", 20_000);
+    let half = asking("pay", "half", 20_000).split_at(30).0.to_owned();
+    for (behind, many) in [(nonsense(), 2), (further + &nonsense(), 4), (nonsense() + &half, 2)] {
+        leaves_in_the_queue(&behind, many, |_| {}, Duration::ZERO);
+    }
 }
 
 #[test]
@@ -213,29 +227,35 @@
     assert_eq!(ids(&seen), ["after"]);
 }
 
-#[test]
-fn a_request_whose_agent_left_while_it_waited_for_the_counter_is_not_sent_on() {
+/// A limiter whose part of a quota is less than a request takes, and a client whose request waits until the counter, which
+/// is held at the gate, has let it have the rest; what the node sees.
+fn claiming() -> (Running, Agent, Gate, Seen) {
     let (gate, (tell, called)) = (Gate::default(), channel());
     let (own, tell) = (gate.clone(), Mutex::new(tell));
-    let counter = http_peer(move |_, _, _| {
+    let counter = http_peer(move |first, _, _| {
         _ = tell.lock().expect("whole").send(());
         own.pass();
-        answer("200 OK", "0")
+        answer("200 OK", &counted(first).1.to_string())
     });
     let (node, seen) = resp_peer(|_, words| serve(&words[2]));
     let mut told = patient(quiet_list(), &[("s-1", node)]);
     told["counter"] = counter.to_string().into();
-    // A part of the quota is less than the request takes: it has to be claimed.
-    told["settings"]["balancers"] = 2.into();
+    told["settings"]["balancers"] = 4.into();
     (told["settings"]["tariffs"][0]["refill"], told["settings"]["tariffs"][0]["peakUnits"]) =
-        (0.5.into(), 2.0.into());
+        (0.5.into(), 4.0.into());
     told["settings"]["specifics"]["counterTimeout"] = 20_000_000.into();
     let limiter = limiter(&told);
-    let mut agent = Agent::ready(&limiter);
-    agent.say(&asking_for("00000000b4d65521", 2, "pay", "left", 20_000));
+    let mut client = Agent::ready(&limiter);
+    client.say(&asking_for("00000000b4d65521", 4, "pay", "claimed", 20_000));
     called.recv().expect("a call");
     in_flight(&limiter, 1);
-    drop(agent);
+    (limiter, client, gate, seen)
+}
+
+#[test]
+fn a_request_whose_agent_left_while_it_waited_for_the_counter_is_not_sent_on() {
+    let (limiter, client, gate, seen) = claiming();
+    drop(client);
     in_flight(&limiter, 0);
     gate.open();
     let mut agent = Agent::ready(&limiter);
@@ -275,6 +295,48 @@
     assert_eq!(String::from_utf8_lossy(&node.open()), "");
 }
 
+/// What holds up the reader of a client that sends it: 0.36 s in all, from one command to the next.
+fn nonsense() -> String {
+    asking("dance", "bad", 500).repeat(8)
+}
+
+#[test]
+fn nor_is_what_was_claimed_from_the_moment_at_which_its_client_left() {
+    for stays in [true, false] {
+        let (limiter, mut client, gate, seen) = claiming();
+        client.say(&nonsense());
+        thread::sleep(Duration::from_millis(40));
+        let client = stays.then_some(client);
+        gate.open();
+        in_flight(&limiter, 0);
+        // What is claimed is sent on, but for a client that has left.
+        assert_eq!(ids(&seen).len(), usize::from(client.is_some()));
+    }
+}
+
+#[test]
+fn nor_is_what_waits_for_a_connection_to_rest_from_the_moment_at_which_its_client_left() {
+    let (node, seen) = resp_peer(|_, words| serve(&words[2]));
+    let limiter = limiter(&patient(quiet_list(), &[("s-1", node)]));
+    let mut first = Agent::ready(&limiter);
+    // A round in which the client left too late, as on a busy machine, says nothing.
+    let round = |number: &usize| {
+        let mut left = Agent::ready(&limiter);
+        let began = Instant::now();
+        first.ask("look", "first", 20_000);
+        assert_eq!(first.answer(), "first");
+        // On the connection of the first, which may be used again 20 ms after its answer.
+        left.say(&(asking("look", &format!("left-{number}"), 20_000) + &nonsense()));
+        thread::sleep(Duration::from_millis(4));
+        drop(left);
+        began.elapsed() < Duration::from_millis(18)
+    };
+    let good = (0..500).find(round).expect("a good round");
+    in_flight(&limiter, 0);
+    let seen = ids(&seen);
+    assert!(!seen.contains(&format!("left-{good}")), "{seen:?}");
+}
+
 // ---- nodes ----
 
 /// Takes a hold to a node that answers with an error once it drains and another is there, which is shut: the
