--- a/src/net/front/mod.rs
+++ b/src/net/front/mod.rs
@@ -1,10 +1,11 @@
-//! A front: connections of agents, and answers in the order of what was asked.
+//! A front: accepts connections of clients and writes replies in the order of the commands.
 //!
-//! Each connection has a thread that reads and, while there are answers to be written, one that writes. They are written
-//! in the order of the commands, and a slow or broken agent holds up its own connection alone. What the connections speak is a [`Manner`].
+//! Each connection has a thread that reads and, while there are replies to be written, one that writes: a slow or
+//! broken client holds up its own connection alone. How commands are read and replies written is a
+//! [`ClientProtocol`].
 //!
-//! One more thread watches over all connections: what never completes a command, or is held for good after its
-//! last answer, is closed, and whoever sends what can't be read is not kept waiting behind an answer.
+//! One more thread, the watchdog, closes connections on which no command becomes whole or that are held for long
+//! after their last reply.
 
 mod accept;
 mod connection;
@@ -15,17 +16,17 @@
 mod watchdog;
 mod writer;
 
-pub use hand_over::Pass;
-pub use protocol::{Dismissal, Manner, Reply, Slot};
-pub use session::Desk;
+pub use hand_over::ConnectionHandOver;
+pub use protocol::{ClientProtocol, CloseReason, Reply, ReplySlot};
+pub use session::Session;
 
-use super::tap::Wake;
+use super::interruptible::ReadInterrupt;
 use super::wiring::Queue;
 use super::{lock, spawn};
 use crate::figures::Figures;
-use crate::hush::Hush;
 use crate::limiter::Input;
-use connection::Link;
+use crate::log_throttle::LogThrottle;
+use connection::ClientConnection;
 use slog::Logger;
 use std::collections::HashMap;
 use std::io;
@@ -35,84 +36,84 @@
 use std::time::Duration;
 
 /// A front.
-pub struct Front<M: Manner> {
-    manner: M,
-    most: AtomicUsize,
+pub struct Front<P: ClientProtocol> {
+    protocol: P,
+    max_connections: AtomicUsize,
     /// Connections can be handed over; ends the waiting of their readers.
-    wake: Option<Wake>,
+    read_interrupt: Option<ReadInterrupt>,
     /// Where to, while they are.
-    pass: Mutex<Option<Pass>>,
+    hand_over_to: Mutex<Option<ConnectionHandOver>>,
     /// No connection is accepted.
-    paused: Mutex<bool>,
-    unpaused: Condvar,
-    queue: Queue<M::Speech>,
+    accept_paused: Mutex<bool>,
+    accept_resumed: Condvar,
+    core: Queue<P::Upstream>,
     figures: Arc<Figures>,
     ready: AtomicBool,
     closing: AtomicBool,
-    numbers: AtomicU64,
-    links: Mutex<HashMap<u64, Arc<Link<M>>>>,
+    next_number: AtomicU64,
+    connections: Mutex<HashMap<u64, Arc<ClientConnection<P>>>>,
     /// A connection has ended.
-    freed: Condvar,
+    connection_ended: Condvar,
     /// There is a connection to watch over.
-    opened: Condvar,
+    connection_opened: Condvar,
     log: Logger,
-    complaints: Hush,
-    full: Hush,
+    malformed_log: LogThrottle,
+    full_log: LogThrottle,
 }
 
-impl<M: Manner> Front<M> {
+impl<P: ClientProtocol> Front<P> {
     /// A front for at most so many connections.
     pub fn new(
-        manner: M,
+        protocol: P,
         most: usize,
-        wake: Option<Wake>,
-        queue: Queue<M::Speech>,
+        read_interrupt: Option<ReadInterrupt>,
+        core: Queue<P::Upstream>,
         figures: Arc<Figures>,
         log: Logger,
     ) -> Arc<Self> {
         Arc::new(Self {
-            manner,
-            most: AtomicUsize::new(most),
-            wake,
-            pass: Mutex::default(),
-            paused: Mutex::default(),
-            unpaused: Condvar::new(),
-            queue,
+            protocol,
+            max_connections: AtomicUsize::new(most),
+            read_interrupt,
+            hand_over_to: Mutex::default(),
+            accept_paused: Mutex::default(),
+            accept_resumed: Condvar::new(),
+            core,
             figures,
             ready: AtomicBool::new(false),
             closing: AtomicBool::new(false),
-            numbers: AtomicU64::new(0),
-            links: Mutex::default(),
-            freed: Condvar::new(),
-            opened: Condvar::new(),
+            next_number: AtomicU64::new(0),
+            connections: Mutex::default(),
+            connection_ended: Condvar::new(),
+            connection_opened: Condvar::new(),
             log,
-            complaints: Hush::default(),
-            full: Hush::default(),
+            malformed_log: LogThrottle::default(),
+            full_log: LogThrottle::default(),
         })
     }
 
     /// Starts to take connections.
     pub fn listen(self: &Arc<Self>, listener: TcpListener) -> io::Result<()> {
         let front = self.clone();
-        spawn("agents", move || front.accept(&listener))?;
+        spawn("agents", move || front.run_accept_loop(&listener))?;
         let front = self.clone();
-        spawn("agents-watch", move || front.watch())
+        spawn("agents-watch", move || front.run_watchdog())
     }
 
     /// Takes connections, or none for now: they wait for whoever else accepts from the listener.
-    pub fn accepts(&self, goes_on: bool) {
-        *lock(&self.paused) = !goes_on;
-        self.unpaused.notify_all();
+    pub fn set_accepting(&self, goes_on: bool) {
+        *lock(&self.accept_paused) = !goes_on;
+        self.accept_resumed.notify_all();
     }
 
     /// From now on so many connections at most.
-    pub fn limit(&self, most: usize) {
-        self.most.store(most, Ordering::Relaxed);
+    pub fn set_max_connections(&self, most: usize) {
+        self.max_connections.store(most, Ordering::Relaxed);
     }
 
     /// No connection is left.
     pub fn is_empty(&self) -> bool {
-        lock(&self.links).is_empty()
+        lock(&self.connections).is_empty()
     }
 
     /// From now on the front says that it is ready.
@@ -134,47 +135,49 @@
     /// Closes what owes nothing and on which no command is on its way, if all are to be closed.
     fn close_if_closing(&self) {
         if self.is_closing() {
-            lock(&self.links).values().for_each(|link| link.close_if_idle());
+            lock(&self.connections).values().for_each(|connection| connection.close_unless_busy());
         }
     }
 
     /// Connections are to be closed once they owe nothing, and not handed over.
     fn is_closing(&self) -> bool {
-        self.closing.load(Ordering::SeqCst) && lock(&self.pass).is_none()
+        self.closing.load(Ordering::SeqCst) && lock(&self.hand_over_to).is_none()
     }
 
     /// Some agent is in the middle of a command.
-    pub fn is_written_to(&self) -> bool {
-        lock(&self.links).values().any(|link| lock(&link.state).is_coming())
+    pub fn has_partial_command(&self) -> bool {
+        lock(&self.connections).values().any(|connection| lock(&connection.state).command_may_be_coming())
     }
 
     /// Waits until every connection has ended, or for so long.
     pub fn wait_closed(&self, most: Duration) {
-        let links = lock(&self.links);
-        _ = self.freed.wait_timeout_while(links, most, |links| !links.is_empty());
+        let connections = lock(&self.connections);
+        _ = self
+            .connection_ended
+            .wait_timeout_while(connections, most, |connections| !connections.is_empty());
     }
 
     /// Closes a connection, and lets another take its place.
-    fn end(&self, number: u64, link: &Link<M>) {
-        self.left(link);
-        link.close();
-        lock(&self.links).remove(&number);
-        self.freed.notify_all();
+    fn close_connection(&self, number: u64, connection: &ClientConnection<P>) {
+        self.abandon_requests(connection);
+        connection.close();
+        lock(&self.connections).remove(&number);
+        self.connection_ended.notify_all();
     }
 
     /// The agent has gone away: nobody waits for what is still open.
-    fn left(&self, link: &Link<M>) {
-        let mut state = lock(&link.state);
+    fn abandon_requests(&self, connection: &ClientConnection<P>) {
+        let mut state = lock(&connection.state);
         state.closed = true;
-        let left = std::mem::take(&mut state.waiting);
+        let left = std::mem::take(&mut state.open_requests);
         drop(state);
-        self.tell_left(left);
+        self.report_abandoned(left);
     }
 
     /// All at once: told one after another, a request that waits would be sent on in the place of the one before it.
-    fn tell_left(&self, left: Vec<u64>) {
+    fn report_abandoned(&self, left: Vec<u64>) {
         if !left.is_empty() {
-            _ = self.queue.send(Input::Left(left));
+            _ = self.core.send(Input::Left(left));
         }
     }
 }
