--- a/src/net/front/session.rs
+++ b/src/net/front/session.rs
@@ -32,7 +32,7 @@
         context: P::ReplyContext,
         class: usize,
     ) -> Option<(u64, ReplySlot<ValueOf<P>>)> {
-        if self.connection.peer_has_left() {
+        if self.connection.peer_left_while_paused() {
             return None;
         }
         let number = self.front.next_number.fetch_add(1, Ordering::Relaxed);
@@ -54,7 +54,7 @@
             }
             front.start_writer(own, &connection, state);
         };
-        Some((number, ReplySlot::new(fill)))
+        Some((number, ReplySlot::new(self.connection.clone(), fill)))
     }
 
     /// Replies without asking the core, in the order of commands; false if the connection is closing.
