--- a/tests/units/main.rs
+++ b/tests/units/main.rs
@@ -2,6 +2,7 @@
 
 mod admin_calls;
 mod bans;
+mod glossary;
 mod handover_link;
 mod handover_stages;
 mod node_list_waits;
