--- /dev/null
+++ b/src/limiter/actions.rs
@@ -0,0 +1,79 @@
+//! Events for the decision module, and the actions that come back from it.
+
+use super::deadlines::Due;
+use super::messages::{Answer, AttemptId, Edges};
+use super::requests::{number, LAST_MOMENTS};
+use super::Core;
+use crate::interface::*;
+use std::time::Duration;
+
+impl<E: Edges> Core<E> {
+    /// Hands an event to the module and carries out its actions, and what follows from these in turn.
+    pub(super) fn tell(&mut self, now: Micros, event: Event) {
+        self.events.push_back(event);
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.gateway.on_event(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(now, action);
+            }
+            self.actions = actions;
+        }
+    }
+
+    pub(super) fn carry_out(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send { id, server, timeout, by } => self.send(now, id, server, timeout, by),
+            Action::Cancel { id, attempt } => {
+                let attempt = AttemptId { request: number(&id), attempt };
+                if let Some(out) = self.take_out(attempt) {
+                    let written = self.edges.cancel(attempt);
+                    self.events.push_back(Event::Outcome(Ended {
+                        id,
+                        attempt: attempt.attempt,
+                        server: out.node,
+                        outcome: if written { Outcome::Cancelled } else { Outcome::Moot },
+                        took: now.saturating_sub(out.sent),
+                        last: !self.open.contains_key(&attempt.request),
+                        load: Vec::new(),
+                        settled: None,
+                    }));
+                    if let Some(open) = self.open.get_mut(&attempt.request) {
+                        open.may_have_run |= written;
+                    }
+                }
+            }
+            Action::Refuse { id, after } => {
+                let Some(open) = self.close(number(&id)) else { return };
+                let late = open.late || now + LAST_MOMENTS >= open.deadline;
+                // The rule on refusals binds whoever words them: what may have run is failed, not refused.
+                let answer = if open.safe || !open.may_have_run {
+                    Answer::Refused { after: Duration::from_micros(after), late }
+                } else {
+                    Answer::Failed { late }
+                };
+                self.answer(open.client, answer);
+            }
+            Action::Fail { id } => {
+                let Some(open) = self.close(number(&id)) else { return };
+                let late = open.late || now + LAST_MOMENTS >= open.deadline;
+                self.answer(open.client, Answer::Failed { late });
+            }
+            Action::Timer { after, token } => self.timers.set(now + after, Due::Module(token)),
+            Action::Probe { server } => self.edges.probe(&server),
+            // A call that ends after this process has tells nobody.
+            Action::Count { name, .. } if self.finishing => {
+                let (total, outcome) = (0.0, Outcome::ConnectFailed);
+                self.events.push_back(Event::Counted { name, total, outcome });
+            }
+            Action::Count { name, by, ttl } => {
+                self.count_calls += 1;
+                self.counts.insert(self.count_calls, name);
+                self.timers.set(now + self.counter_timeout, Due::Count(self.count_calls));
+                self.edges.add(self.count_calls, name, by, Duration::from_micros(ttl));
+            }
+            // Limiters share nothing but the quota counter, and the node list is watched from the start.
+            Action::Tell { .. } | Action::Watch => {}
+        }
+    }
+}
