--- /dev/null
+++ b/benches/capacity/mod.rs
@@ -0,0 +1,38 @@
+//! The capacity benchmark: experiments over the sizes of a fleet, power laws fitted to them, and a report.
+
+pub mod arguments;
+pub mod configuration;
+pub mod counter;
+pub mod decisions;
+pub mod fit;
+pub mod limiter;
+pub mod measure;
+pub mod pools;
+pub mod report;
+pub mod server_list;
+pub mod shared_counter;
+pub mod timers;
+pub mod traffic;
+pub mod world;
+
+use arguments::{Group, Plan};
+use report::Experiment;
+
+/// Runs the experiments of a plan in order; `done` is shown each one as soon as it is finished.
+pub fn run(plan: &Plan, done: &mut dyn FnMut(&Experiment)) -> Vec<Experiment> {
+    let mut experiments = Vec::new();
+    for group in &plan.groups {
+        let finished = match group {
+            Group::Decisions => decisions::experiments(plan),
+            Group::Lists => server_list::experiments(plan),
+            Group::Timers => timers::experiments(plan),
+            Group::Configuration => configuration::experiments(plan),
+            Group::Pools => pools::experiments(plan),
+            Group::Traffic => traffic::experiments(plan),
+            Group::Counter => counter::experiments(plan),
+        };
+        finished.iter().for_each(&mut *done);
+        experiments.extend(finished);
+    }
+    experiments
+}
--- /dev/null
+++ b/benches/capacity/world.rs
@@ -0,0 +1,140 @@
+//! Settings, servers and texts of a made-up fleet.
+
+use mossrill::interface::*;
+use serde_json::{json, Value};
+
+/// One second in microseconds.
+pub const SECOND: Micros = 1_000_000;
+/// When every simulation begins.
+pub const START: Micros = 1_764_633_600 * SECOND;
+/// Zones of the target, over all regions.
+pub const ZONES: u64 = 13;
+/// Services of the target.
+pub const SERVICES: u64 = 860;
+/// Servers of a cell.
+const CELL: u64 = 24;
+/// An answer within this time is in time; a client gives up after the second.
+const AIM: Micros = 500_000;
+const DEADLINE: Micros = 2_000_000;
+
+/// What a limiter is told at its start.
+pub fn settings(me: u32, limiters: u32, plans: Vec<Plan>) -> Settings {
+    let class =
+        Class { aim: AIM, deadline: DEADLINE, effect: Effect::Safe, window: 0, worth: 1.0, late_worth: 0.0 };
+    Settings {
+        me,
+        gateways: limiters,
+        zone: zone(0),
+        tick: 1_000,
+        classes: vec![class],
+        plans,
+        limits: Limits { max_attempts: 3, cancel: true, second_copies: true, ..Limits::default() },
+        safety: Safety {
+            drain_grace: 500_000,
+            cold_share: 0.2,
+            warm_within: 10 * SECOND,
+            fall_multiple: 3.0,
+            fall: 2 * SECOND,
+        },
+        counter: true,
+        counter_timeout: 50_000,
+        weights: true,
+        ..Settings::default()
+    }
+}
+
+fn zone(number: u64) -> String {
+    format!("zone-{:02}", number % ZONES)
+}
+
+fn server_name(number: u64) -> String {
+    let mixed = number.wrapping_mul(0x9e37_79b9) & 0xffff_ffff;
+    format!("s-{mixed:08x}")
+}
+
+/// An entry of the server list.
+pub fn member(number: u64, readiness: Readiness) -> Member {
+    Member {
+        id: server_name(number).as_str().into(),
+        zone: zone(number),
+        cell: number / CELL,
+        readiness,
+        weight: 1.0,
+        started: 0,
+    }
+}
+
+/// The whole server list as the decision module takes it.
+pub fn members(servers: u64) -> Vec<Member> {
+    (0..servers).map(|number| member(number, Readiness::Ready)).collect()
+}
+
+/// An entry of the server list as service discovery sends it.
+fn entry(number: u64, lifecycle: &str) -> Value {
+    json!({
+        "instanceId": server_name(number),
+        "hostPort": format!("10.{}.{}.{}:6379", number >> 16, (number >> 8) & 0xff, number & 0xff),
+        "zone": zone(number),
+        "machineType": "m2",
+        "cell": number / CELL,
+        "lifecycle": lifecycle,
+        "weight": 1.0,
+        "startedAtMs": START / 1_000 + number,
+    })
+}
+
+/// News of the server list as service discovery sends it: the first so many servers.
+pub fn list_text(servers: u64, whole: bool) -> String {
+    let lifecycle = if whole { "in_service" } else { "terminating" };
+    let entries: Vec<Value> = (0..servers).map(|number| entry(number, lifecycle)).collect();
+    json!({"generation": 41, "reset": whole, "instances": entries}).to_string()
+}
+
+/// The path of a route.
+pub fn route_path(number: u64) -> String {
+    format!("/service-{:03}/collection-{number}/{{item}}", number % SERVICES)
+}
+
+/// An OpenAPI description with so many routes, an operation each.
+pub fn description_text(routes: u64) -> String {
+    let mut paths = serde_json::Map::new();
+    for number in 0..routes {
+        let operation = json!({
+            "operationId": format!("getItem{number}"),
+            "summary": "One item of a collection",
+            "x-quota-class": "read",
+            "x-quota-units": 1,
+            "responses": {
+                "200": {"description": "The item"},
+                "503": {"description": "Not looked at", "x-quota-never-ran": true},
+            },
+        });
+        paths.insert(route_path(number), json!({ "get": operation }));
+    }
+    json!({
+        "openapi": "3.0.3",
+        "info": {"title": "Made-up services", "version": "1.0.0"},
+        "x-quota-classes": {
+            "read": {"aim-ms": 500, "deadline-ms": 2000, "worth": 1, "x-quota-effect": "safe"},
+        },
+        "paths": paths,
+    })
+    .to_string()
+}
+
+/// A configuration file of the OpenAPI front with so many accounts.
+pub fn configuration_text(accounts: u64, limiters: u64) -> String {
+    let account = |number: u64| json!({"name": format!("tenant-{number:06}"), "plan": "basic", "spread": limiters, "first": 0});
+    let node = |number: u64| json!({"name": server_name(number), "address": "127.0.0.1:9001", "cell": 0});
+    json!({
+        "name": "capacity",
+        "listen": "127.0.0.1:8080",
+        "description": "routes.json",
+        "limiters": {"me": 0, "all": limiters},
+        "plans": [{"name": "basic", "rate": 4, "burst": 8}],
+        "accounts": (0..accounts).map(account).collect::<Vec<_>>(),
+        "ticket_nodes": [node(0)],
+        "store": {"kind": "none"},
+    })
+    .to_string()
+}
