Lab: real processes under open-loop load beside the hollow limiters

Cause: hollow limiters have no client traffic, so a run said nothing of what a limiter adds to a request.

Change: section `[real]` of a scenario starts limiter processes with the OpenAPI front on files made for the run, upstream servers that answer after a random time and say how long it took, and a generator that begins requests at drawn times and counts latency from there. Pauses, restarts and changes of the configuration are played; a change counts as in force once `show-stat` tells of the further entry. Histograms have bounds: one without resizes on `record` alone and took every value above 2 ms for 2 ms.

--- a/lab/src/audit.rs
+++ b/lab/src/audit.rs
@@ -51,7 +51,7 @@
 
     /// What was found.
     pub fn result(&self, population: &Population) -> AuditResult {
-        let beyond: f64 = self.beyond.values().sum();
+        let beyond = self.beyond.values().fold(0.0, |sum, units| sum + units);
         let in_bursts = |(tenant, units): (&usize, &f64)| units / population.plan(*tenant).burst;
         AuditResult {
             sent_units: self.sent,
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -12,17 +12,22 @@
 pub mod gateway_host;
 pub mod hollow;
 pub mod hollow_play;
+pub mod load_generator;
 pub mod membership_play;
 pub mod messages;
 pub mod population;
 pub mod predictions;
 pub mod process_figures;
+pub mod real_files;
+pub mod real_play;
+pub mod real_process;
 pub mod report;
 pub mod run;
 pub mod scenario;
 pub mod server_list;
 pub mod stand_in;
 pub mod summary;
+pub mod upstream;
 
 /// The network of hand-made time on which views of a fleet are tested.
 #[path = "../../tests/common/net.rs"]
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -7,7 +7,7 @@
 use mossrill_lab::predictions::Predictions;
 use mossrill_lab::report::{comparison_table, table, RunReport};
 use mossrill_lab::scenario::Scenario;
-use mossrill_lab::{counter, discovery, hollow, run, scenario, stand_in};
+use mossrill_lab::{counter, discovery, hollow, run, scenario, stand_in, upstream};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -34,6 +34,9 @@
         /// One seed in place of the scenario's.
         #[arg(long)]
         seed: Option<u64>,
+        /// The limiter that real processes run.
+        #[arg(long, default_value = "target/release/mossrill")]
+        limiter: PathBuf,
     },
     /// Reads and checks scenario files, and plays nothing.
     Check {
@@ -57,11 +60,12 @@
 
 fn work(command: Command) -> Result<(), String> {
     match command {
-        Command::Run { scenario, json, predictions, seed } => {
+        Command::Run { scenario, json, predictions, seed, limiter } => {
             let scenario = load(&scenario)?;
             let predictions = predictions.as_deref().map(Predictions::load).transpose()?.unwrap_or_default();
             let seeds = seed.map_or_else(|| scenario.seeds.clone(), |seed| vec![seed]);
-            play(&scenario, &seeds, &predictions, json.as_deref())
+            let run = Run { scenario, seeds, predictions, limiter };
+            play(&run, json.as_deref())
         }
         Command::Check { scenarios } => scenarios.iter().try_for_each(|path| {
             let scenario = load(path)?;
@@ -77,15 +81,17 @@
     scenario::load(path).map_err(|fault| fault.to_string())
 }
 
-fn play(
-    scenario: &Scenario,
-    seeds: &[u64],
-    predictions: &Predictions,
-    json: Option<&Path>,
-) -> Result<(), String> {
+struct Run {
+    scenario: Scenario,
+    seeds: Vec<u64>,
+    predictions: Predictions,
+    limiter: PathBuf,
+}
+
+fn play(run: &Run, json: Option<&Path>) -> Result<(), String> {
     let mut reports = Vec::new();
-    for seed in seeds {
-        let report = run::run(scenario, *seed, predictions)?;
+    for seed in &run.seeds {
+        let report = run::run(&run.scenario, *seed, &run.predictions, &run.limiter)?;
         print(&report)?;
         reports.push(report);
     }
@@ -110,6 +116,7 @@
     match stand_in::read_start()? {
         Start::Discovery { scenario, seed } => discovery::run(&scenario, seed),
         Start::Counter { zones } => counter::run(zones),
+        Start::Upstream { servers, mean_ms, seed } => upstream::run(servers, mean_ms, seed),
         Start::Hollow(start) => hollow::run(&start),
     }
 }
--- a/lab/src/messages.rs
+++ b/lab/src/messages.rs
@@ -20,6 +20,15 @@
         /// Number of zones; each has an address of its own.
         zones: u32,
     },
+    /// Be upstream servers.
+    Upstream {
+        /// How many.
+        servers: u32,
+        /// Mean time of an answer.
+        mean_ms: f64,
+        /// For random numbers.
+        seed: u64,
+    },
     /// Be the hollow limiters of a zone.
     Hollow(Box<HollowStart>),
 }
--- a/lab/src/process_figures.rs
+++ b/lab/src/process_figures.rs
@@ -8,6 +8,8 @@
 const TICKS_PER_S: f64 = 100.0;
 /// Bytes of a page.
 const PAGE_BYTES: u64 = 4_096;
+/// The longest lateness that is told apart, in µs.
+const LONGEST_US: u64 = 60_000_000;
 /// A process looks so often whether it is woken in time.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -41,7 +43,7 @@
 impl Lateness {
     /// Starts to look.
     pub fn watch() -> Result<Self, String> {
-        let seen = Histogram::new(3).map_err(|fault| fault.to_string())?;
+        let seen = Histogram::new_with_bounds(1, LONGEST_US, 3).map_err(|fault| fault.to_string())?;
         let lateness = Self(Arc::new(Mutex::new(seen)));
         let own = lateness.clone();
         crate::stand_in::spawn(move || own.run()).map_err(|fault| fault.to_string())?;
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -3,6 +3,7 @@
 use crate::hollow_play::HollowResult;
 use crate::membership_play::MembershipResult;
 use crate::predictions::Comparison;
+use crate::real_play::RealResult;
 use crate::scenario::Scenario;
 use serde::Serialize;
 use serde_json::Value;
@@ -21,6 +22,8 @@
     pub hollow: Option<HollowResult>,
     /// Membership, in virtual time.
     pub membership: Option<MembershipResult>,
+    /// Real processes under traffic, in real time.
+    pub real: Option<RealResult>,
     /// Figures beside their predictions.
     pub predictions: Vec<Comparison>,
     /// Whether the machine kept up.
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -3,18 +3,28 @@
 use crate::predictions::Predictions;
 use crate::report::RunReport;
 use crate::scenario::Scenario;
-use crate::{hollow_play, membership_play};
+use crate::{hollow_play, membership_play, real_play};
+use std::path::Path;
 
-/// Plays a scenario with one seed.
-pub fn run(scenario: &Scenario, seed: u64, predictions: &Predictions) -> Result<RunReport, String> {
+/// Plays a scenario with one seed; `limiter` is the program of the real processes.
+pub fn run(
+    scenario: &Scenario,
+    seed: u64,
+    predictions: &Predictions,
+    limiter: &Path,
+) -> Result<RunReport, String> {
     let hollow = scenario.hollow.as_ref().map(|_| hollow_play::play(scenario, seed)).transpose()?;
     let membership = scenario.membership.as_ref().map(|m| membership_play::play(scenario, m, seed));
-    let fell_behind: Vec<String> = hollow.iter().flat_map(|h| h.fell_behind.clone()).collect();
+    let real =
+        scenario.real.as_ref().map(|real| real_play::play(scenario, real, seed, limiter)).transpose()?;
+    let mut fell_behind: Vec<String> = hollow.iter().flat_map(|hollow| hollow.fell_behind.clone()).collect();
+    fell_behind.extend(real.iter().flat_map(|real| real.fell_behind.clone()));
     let mut report = RunReport {
         scenario: scenario.clone(),
         seed,
         hollow,
         membership,
+        real,
         predictions: Vec::new(),
         kept_up: fell_behind.is_empty(),
         fell_behind,
