--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -1,7 +1,7 @@
 //! Scripted peers on loopback for the stories: agents, ticket nodes, node list and counters.
 #![allow(dead_code)]
 
-use mossrill::net::front::Manner;
+use mossrill::net::front::ClientProtocol;
 use mossrill::net::wiring::{Limiter, Reload, Stopper};
 use mossrill::net::{platform, resp};
 use mossrill::{config, openapi};
@@ -191,7 +191,7 @@
 }
 
 impl Running {
-    fn new<M: Manner, C>((limiter, _): (Limiter<M>, Reload<C>)) -> Self {
+    fn new<P: ClientProtocol, C>((limiter, _): (Limiter<P>, Reload<C>)) -> Self {
         let (at, control, stopper) = (limiter.bound, limiter.control, Some(limiter.stopper()));
         Self { at, control, stopper, core: thread::spawn(move || limiter.run()) }
     }
@@ -394,7 +394,11 @@
 
     /// Connects if somebody is there and ready.
     pub fn try_at(at: SocketAddr) -> Option<Self> {
-        let stream = TcpStream::connect(at).ok()?;
+        Self::try_on(TcpStream::connect(at).ok()?)
+    }
+
+    /// Takes a connection if whoever is at its other end is ready.
+    pub fn try_on(stream: TcpStream) -> Option<Self> {
         stream.set_read_timeout(Some(PATIENCE)).ok()?;
         let mut agent = Self(BufReader::new(stream));
         (agent.try_ask("*1\r\n$4\r\nPING\r\n")? == "+PONG").then_some(agent)
@@ -409,7 +413,7 @@
             Ok(_) => None,
             Err(fault) => {
                 let waits = matches!(fault.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut);
-                assert!(!waits, "no answer and no end");
+                assert!(!waits, "no answer and no end of {:?} at {:?}", text, self.0.get_ref());
                 None
             }
         };
