--- a/benches/capacity/counter.rs
+++ b/benches/capacity/counter.rs
@@ -7,7 +7,7 @@
 use super::traffic::{Shape, Traffic, REQUESTS_PER_LIMITER};
 use super::world::{SECOND, START};
 use mossrill::interface::{Action, Event, Micros};
-use mossrill::net::count_lines::{Addition, CountSpeech};
+use mossrill::net::count_lines::{Addition, CounterProtocol};
 use mossrill::net::quota_counter::QuotaCounter;
 use mossrill::net::redis_counter::RedisCounter;
 use rand::distr::weighted::WeightedIndex;
