Commands of the core and records of a hand-over are named for what they are

Change: AdminCommand and HandOverCommand within Command, so that the admin interface can send no hand-over command; obey is one function each. LearnedState, FinalReport and UnreportedUnits in place of Given, Bye and Untold, and give_state, adopt_state, reclaim_state for what is done with them; AdminContext in place of Desk. Tags on the wire, the stages and the debug forms that stand in log lines stay (Given and Bye as stage names too).

--- a/src/control/line.rs
+++ b/src/control/line.rs
@@ -4,7 +4,7 @@
 use crate::figures::Figures;
 use crate::fleet::link::Fleet;
 use crate::interface::ServerId;
-use crate::limiter::Order;
+use crate::limiter::AdminCommand;
 use crate::net::{lock, spawn};
 use crossbeam_channel::{bounded, Sender};
 use slog::{info, warn, Logger};
@@ -26,38 +26,38 @@
 const ACCEPT_WAIT: Duration = Duration::from_millis(20);
 
 /// What calls are answered from.
-pub struct Desk {
+pub struct AdminContext {
     /// The figures.
     pub figures: Arc<Figures>,
     /// The limiter's place in its fleet, if it has one.
     pub fleet: Option<Fleet>,
     /// Whether this process can serve.
     pub ready: Box<dyn Fn() -> bool + Send + Sync>,
-    /// Passes an order to the core.
-    pub order: Box<dyn Fn(Order) + Send + Sync>,
+    /// Passes a command to the core.
+    pub command: Box<dyn Fn(AdminCommand) + Send + Sync>,
     /// For what operators changed.
     pub log: Logger,
 }
 
 /// Listens for operators.
-pub fn listen(at: SocketAddr, desk: Desk) -> std::io::Result<SocketAddr> {
+pub fn listen(at: SocketAddr, context: AdminContext) -> std::io::Result<SocketAddr> {
     let named = |e: std::io::Error| std::io::Error::new(e.kind(), format!("key \"control\": {at}: {e}"));
     let listener = TcpListener::bind(at).map_err(named)?;
     let bound = listener.local_addr()?;
-    spawn("control", move || accept(&listener, &Arc::new(desk)))?;
+    spawn("control", move || accept(&listener, &Arc::new(context)))?;
     Ok(bound)
 }
 
 /// Connections on which no whole call has come yet, the oldest first.
 type Silent = Arc<Mutex<VecDeque<Arc<TcpStream>>>>;
 
-fn accept(listener: &TcpListener, desk: &Arc<Desk>) {
+fn accept(listener: &TcpListener, context: &Arc<AdminContext>) {
     let silent = Silent::default();
     loop {
         let stream = match listener.accept() {
             Ok((stream, _)) => Arc::new(stream),
             Err(fault) => {
-                warn!(desk.log, "accept failed"; "fault" => %fault);
+                warn!(context.log, "accept failed"; "fault" => %fault);
                 thread::sleep(ACCEPT_WAIT);
                 continue;
             }
@@ -69,9 +69,9 @@
             }
             silent.push_back(stream.clone());
         }
-        let (own, at) = (silent.clone(), desk.clone());
+        let (own, at) = (silent.clone(), context.clone());
         if let Err(fault) = spawn("control-call", move || at.serve(&stream, &own)) {
-            warn!(desk.log, "no thread for an operator's call"; "fault" => %fault);
+            warn!(context.log, "no thread for an operator's call"; "fault" => %fault);
             lock(&silent).clear();
         }
     }
@@ -105,7 +105,7 @@
     }
 }
 
-impl Desk {
+impl AdminContext {
     fn serve(&self, stream: &Arc<TcpStream>, silent: &Silent) {
         let call = call(stream);
         lock(silent).retain(|other| !Arc::ptr_eq(other, stream));
@@ -128,16 +128,16 @@
             },
             Call::Ready if (self.ready)() => word(Ok(())),
             Call::Ready => word(Err("this process can't serve yet")),
-            Call::DisableServer(id) => self.order(id, Order::Disable),
-            Call::EnableServer(id) => self.order(id, Order::Enable),
+            Call::DisableServer(id) => self.command(id, AdminCommand::Disable),
+            Call::EnableServer(id) => self.command(id, AdminCommand::Enable),
         }
     }
 
-    fn order(&self, id: ServerId, order: impl Fn(ServerId, Sender<bool>) -> Order) -> String {
+    fn command(&self, id: ServerId, command: impl Fn(ServerId, Sender<bool>) -> AdminCommand) -> String {
         let (told, taken) = bounded(1);
-        let order = order(id, told);
-        info!(self.log, "operator's call"; "order" => ?order);
-        (self.order)(order);
+        let command = command(id, told);
+        info!(self.log, "operator's call"; "order" => ?command);
+        (self.command)(command);
         word(match taken.recv_timeout(CORE_WAIT) {
             Ok(true) => Ok(()),
             Ok(false) => Err("no server of this id was ever listed"),
--- a/src/handover/knowledge.rs
+++ b/src/handover/knowledge.rs
@@ -1,6 +1,6 @@
 //! What a gateway knows, given to its successor and taken from its predecessor. Copies records and decides nothing.
 
-use super::message::{Account, Bye, Fails, Given, Node, Untold};
+use super::message::{Account, Fails, FinalReport, LearnedState, Node, UnreportedUnits};
 use crate::interface::{CustomerId, Micros, RequestId, ServerId};
 use crate::policy::Gateway;
 use crate::state::{Customer, Held};
@@ -9,8 +9,8 @@
 impl Gateway {
     /// Gives away what it knows. Units not yet told go along and are told by the successor alone; what the requests
     /// waiting here may take of a store stays here.
-    pub fn give(&mut self) -> Given {
-        let mut given = Given {
+    pub fn learned_state(&mut self) -> LearnedState {
+        let mut state = LearnedState {
             paces: self.paces.iter().map(|p| p.mean).collect(),
             fails: self.paces.iter().map(|p| p.fail).collect(),
             virtual_time: self.virtual_time,
@@ -20,13 +20,13 @@
             price: self.price,
             calls: self.calls,
             mean_worth: self.mean_worth,
-            ..Given::default()
+            ..LearnedState::default()
         };
         for (id, customer) in &mut self.customers {
             let kept = waiting(customer, &self.held).min(customer.level.max(0.0));
             // A call that is out has its end here; what it tells stands in the count all the same.
             let out = customer.call.as_ref().map_or(0.0, |call| call.by + call.claim);
-            given.accounts.push(Account {
+            state.accounts.push(Account {
                 id: id.0.to_string(),
                 plan: customer.plan as u32,
                 spread: customer.spread,
@@ -46,7 +46,7 @@
         for (id, server) in &self.servers {
             let fails = server.fails.iter();
             let fails = fails.map(|(class, (part, at))| Fails { class: *class as u32, part: *part, at: *at });
-            given.nodes.push(Node {
+            state.nodes.push(Node {
                 id: id.0.to_string(),
                 started: server.started,
                 ratio: server.ratio,
@@ -54,12 +54,12 @@
                 fails: fails.collect(),
             });
         }
-        given
+        state
     }
 
     /// The successor never served: what it was given goes on here.
-    pub fn take_back(&mut self, given: Given) {
-        for account in given.accounts {
+    pub fn reclaim_state(&mut self, state: LearnedState) {
+        for account in state.accounts {
             let id = CustomerId::from(&*account.id);
             if let Some(customer) = self.customers.get_mut(&id) {
                 let burst = self.cfg.plans[customer.plan].burst;
@@ -72,26 +72,26 @@
 
     /// Takes what a predecessor knew, and knows of its attempts that are still out; these come back as the accounts
     /// that they count against.
-    pub fn take(&mut self, now: Micros, given: Given) -> HashMap<CustomerId, u32> {
+    pub fn adopt_state(&mut self, now: Micros, state: LearnedState) -> HashMap<CustomerId, u32> {
         let sound = |v: f64| v.is_finite() && v >= 0.0;
-        for (pace, (mean, fail)) in self.paces.iter_mut().zip(given.paces.iter().zip(&given.fails)) {
+        for (pace, (mean, fail)) in self.paces.iter_mut().zip(state.paces.iter().zip(&state.fails)) {
             if sound(*mean) && *mean > 0.0 && sound(*fail) {
                 (pace.mean, pace.fail) = (*mean, fail.min(1.0));
             }
         }
         for (own, was) in [
-            (&mut self.virtual_time, given.virtual_time),
-            (&mut self.send_rate, given.send_rate),
-            (&mut self.price, given.price),
-            (&mut self.mean_worth, given.mean_worth),
+            (&mut self.virtual_time, state.virtual_time),
+            (&mut self.send_rate, state.send_rate),
+            (&mut self.price, state.price),
+            (&mut self.mean_worth, state.mean_worth),
         ] {
             *own = if sound(was) { was } else { *own };
         }
-        if sound(given.depth) && given.depth > 0.0 {
-            (self.depth, self.depth_cut) = (given.depth, given.depth_cut.min(now));
+        if sound(state.depth) && state.depth > 0.0 {
+            (self.depth, self.depth_cut) = (state.depth, state.depth_cut.min(now));
         }
-        self.calls = if sound(given.calls) { given.calls.max(1.0) } else { self.calls };
-        for node in given.nodes {
+        self.calls = if sound(state.calls) { state.calls.max(1.0) } else { self.calls };
+        for node in state.nodes {
             let Some(server) = self.servers.get_mut(&ServerId::from(&*node.id)) else { continue };
             // Of what a cold node may be sent, the predecessor has given out what there was.
             (server.cold_store, server.cold_filled) = (0.0, now);
@@ -102,7 +102,7 @@
             }
         }
         let mut out = HashMap::new();
-        for account in given.accounts {
+        for account in state.accounts {
             let Some(plan) = self.cfg.plans.get(account.plan as usize) else { continue };
             let figures = [account.finish, account.level, account.pending, account.told, account.seen];
             if !figures.iter().all(|figure| figure.is_finite()) {
@@ -146,20 +146,21 @@
     }
 
     /// What a gateway that ends has sent on since it gave away what it knew, and what it has claimed in vain.
-    pub fn untold(&mut self) -> Bye {
+    pub fn unreported_units(&mut self) -> FinalReport {
         let units = |c: &Customer| c.pending - c.granted;
-        let left = self.customers.iter().map(|(id, c)| Untold { id: id.0.to_string(), units: units(c) });
-        Bye { untold: left.filter(|untold| untold.units != 0.0).collect() }
+        let left =
+            self.customers.iter().map(|(id, c)| UnreportedUnits { id: id.0.to_string(), units: units(c) });
+        FinalReport { unreported: left.filter(|entry| entry.units != 0.0).collect() }
     }
 
     /// Units that a predecessor sent on at the end, told from here.
-    pub fn take_untold(&mut self, bye: Bye) {
-        for untold in bye.untold.into_iter().filter(|u| u.units.is_finite()) {
-            let id = CustomerId::from(&*untold.id);
+    pub fn take_unreported(&mut self, report: FinalReport) {
+        for entry in report.unreported.into_iter().filter(|u| u.units.is_finite()) {
+            let id = CustomerId::from(&*entry.id);
             if let Some(customer) = self.customers.get_mut(&id) {
                 // The store lost them when they were sent on; what was claimed in vain is no gain to this copy.
-                customer.level -= untold.units.max(0.0);
-                customer.pending += untold.units;
+                customer.level -= entry.units.max(0.0);
+                customer.pending += entry.units;
                 self.due.insert((true, customer.checked, id));
             }
         }
--- a/src/handover/message.rs
+++ b/src/handover/message.rs
@@ -30,13 +30,13 @@
     Take(bool),
     /// What the incumbent knows.
     #[prost(message, tag = "5")]
-    Given(Given),
+    LearnedState(LearnedState),
     /// The newcomer serves.
     #[prost(bool, tag = "6")]
     Serving(bool),
     /// Nothing is left at the incumbent, but for these units that it has not told the counter.
     #[prost(message, tag = "7")]
-    Bye(Bye),
+    FinalReport(FinalReport),
     /// An agent's connection, with the bytes read from it and not taken.
     #[prost(bytes = "vec", tag = "8")]
     Connection(Vec<u8>),
@@ -50,7 +50,7 @@
 
 /// All that a limiter has learned and its successor would have to learn anew.
 #[derive(Clone, PartialEq, Message)]
-pub struct Given {
+pub struct LearnedState {
     /// Agent accounts.
     #[prost(message, repeated, tag = "1")]
     pub accounts: Vec<Account>,
@@ -183,15 +183,15 @@
 
 /// The last words.
 #[derive(Clone, PartialEq, Message)]
-pub struct Bye {
+pub struct FinalReport {
     /// Units sent on since, and claimed from the counter and not sent on (below nought).
     #[prost(message, repeated, tag = "1")]
-    pub untold: Vec<Untold>,
+    pub unreported: Vec<UnreportedUnits>,
 }
 
 /// Units of an account that the counter is to be told.
 #[derive(Clone, PartialEq, Message)]
-pub struct Untold {
+pub struct UnreportedUnits {
     /// The account.
     #[prost(string, tag = "1")]
     pub id: String,
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -12,7 +12,7 @@
 use crate::net::{lock, spawn};
 use crossbeam_channel::{unbounded, Sender};
 use link::{Deaf, Link};
-use message::{Body, Bye, Given};
+use message::{Body, FinalReport, LearnedState};
 use slog::{info, warn, Logger};
 use stage::{Do, Event, Incumbent, Newcomer, Word, VERSION};
 use std::collections::VecDeque;
@@ -38,11 +38,11 @@
     /// The listener that both sides accept from.
     fn listener(&self) -> &TcpListener;
     /// What the core knows; from now on it tells of the attempts that end.
-    fn give(&self) -> Option<Given>;
+    fn give_state(&self) -> Option<LearnedState>;
     /// The successor did not serve: what was given is this one's again.
-    fn take_back(&self);
+    fn reclaim_state(&self);
     /// What a predecessor knew; taken once this is done.
-    fn take(&self, given: Given);
+    fn adopt_state(&self, state: LearnedState);
     /// Accept connections, or not.
     fn accept(&self, goes_on: bool);
     /// From now on requests are served: the first list is known, and all that a predecessor knew.
@@ -160,22 +160,22 @@
     }
 
     /// The last words of a process that ends.
-    pub fn farewell(&self, bye: Bye) {
-        self.tell(Body::Bye(bye));
+    pub fn farewell(&self, report: FinalReport) {
+        self.tell(Body::FinalReport(report));
     }
 
     fn take_over<L: Limiting>(&self, joined: Joined, listed: impl Fn(Duration) -> bool, limiter: &L) {
         let link = joined.link;
         *lock(&self.other) = Some(link.clone());
-        let (mut stage, mut known, mut given) = (Newcomer::Joining, false, None);
+        let (mut stage, mut known, mut state) = (Newcomer::Joining, false, None);
         // Ends of attempts may overtake what tells of them: heard at once, they would count as out for good.
         let mut early = Vec::new();
         stage.on(Event::Heard(Word::Welcome));
         let (mut since, mut place) = (Instant::now(), None);
         while stage != Newcomer::Alone {
             let event = match link.hear(Some(LOOK)) {
-                Ok((Body::Given(all), _)) => {
-                    given = Some(all);
+                Ok((Body::LearnedState(all), _)) => {
+                    state = Some(all);
                     Event::Heard(Word::Given)
                 }
                 Ok((Body::Ended(account), _)) if stage != Newcomer::Sharing => {
@@ -209,7 +209,7 @@
                         todos.extend(stage.on(if told { Event::Told } else { Event::Lost }));
                     }
                     Do::Serve => {
-                        given.take().into_iter().for_each(|given| limiter.take(given));
+                        state.take().into_iter().for_each(|state| limiter.adopt_state(state));
                         early.drain(..).for_each(|ended| limiter.hear(ended));
                         // Before anybody hears that this one serves: the next upgrade finds it here.
                         place = self.place();
@@ -329,8 +329,8 @@
             Do::Pause => limiter.accept(false),
             // A core that does not answer gives nothing, and the newcomer's silence ends this.
             Do::Say(Word::Given) => {
-                if let Some(given) = limiter.give() {
-                    _ = link.say(Body::Given(given), None);
+                if let Some(state) = limiter.give_state() {
+                    _ = link.say(Body::LearnedState(state), None);
                 }
             }
             Do::HandOver => limiter.hand_over(Some(link.clone())),
@@ -339,7 +339,7 @@
                 limiter.hand_over(None);
                 limiter.accept(true);
             }
-            Do::TakeBack => limiter.take_back(),
+            Do::TakeBack => limiter.reclaim_state(),
             Do::Whole => limiter.share(false),
             Do::Depart => limiter.depart(),
             // The last words are said by whoever ends the process, with what the core leaves untold.
@@ -362,13 +362,13 @@
         Body::Welcome(_) => Some(Word::Welcome),
         Body::Refuse(_) => Some(Word::Refuse),
         Body::Take(_) => Some(Word::Take),
-        Body::Given(_) => Some(Word::Given),
+        Body::LearnedState(_) => Some(Word::Given),
         Body::Serving(_) => Some(Word::Serving),
         Body::Connection(read) => {
             descriptor.into_iter().for_each(|connection| limiter.adopt(connection, read.clone()));
             None
         }
-        Body::Bye(_) => {
+        Body::FinalReport(_) => {
             limiter.hear(body);
             Some(Word::Bye)
         }
--- a/src/limiter/attempts.rs
+++ b/src/limiter/attempts.rs
@@ -18,7 +18,7 @@
     /// An attempt is no longer out; a successor counts those that were when it took over.
     pub(super) fn take_out(&mut self, attempt: AttemptId) -> Option<Out> {
         let out = self.out.remove(&attempt)?;
-        if self.given.is_some() {
+        if self.handed_over_state.is_some() {
             self.edges.tell(Body::Ended(out.account.0.to_string()));
         }
         Some(out)
--- a/src/limiter/commands.rs
+++ b/src/limiter/commands.rs
@@ -1,38 +1,89 @@
 //! Commands of operators and of the other process of an upgrade.
 
-use super::messages::{Edges, Order};
+use super::messages::Edges;
 use super::Core;
-use crate::handover::message::{Ban, Body, Given};
+use crate::handover::message::{Ban, Body, LearnedState};
 use crate::interface::*;
+use crossbeam_channel::Sender;
+
+/// A command to the core, which looks at these before anything else.
+#[derive(Debug)]
+pub enum Command {
+    /// From an operator.
+    Admin(AdminCommand),
+    /// From the hand-over to or from another process.
+    HandOver(HandOverCommand),
+}
+
+/// What operators command. It is answered with false if no such upstream server was ever listed. Its debug form is
+/// part of a log line.
+#[derive(Clone, Debug)]
+pub enum AdminCommand {
+    /// Take an upstream server out.
+    Disable(ServerId, Sender<bool>),
+    /// Put it back.
+    Enable(ServerId, Sender<bool>),
+}
+
+/// What a hand-over asks of the core.
+#[derive(Clone, Debug)]
+pub enum HandOverCommand {
+    /// Give what is known to a successor, and tell of each attempt that ends from now on.
+    GiveState(Sender<LearnedState>),
+    /// The successor did not serve: what it was given is this process's again.
+    ReclaimState,
+    /// There is no successor any more.
+    SuccessorGone,
+    /// Take what a predecessor knew.
+    AdoptState(LearnedState, Sender<()>),
+    /// The other process has news.
+    PeerNews(Body),
+    /// Everything open is answered or handed over: end.
+    Finish,
+}
 
 impl<E: Edges> Core<E> {
-    /// Guards against an order that waits behind a crowd of requests: the operator is owed an answer in a second.
-    pub(super) fn obey(&mut self, now: Micros, order: Order) {
-        let (members, told) = match order {
-            Order::Disable(node, told) => (self.ban(now, &node, true), told),
-            Order::Enable(node, told) => (self.ban(now, &node, false), told),
-            Order::Give(to) => {
+    /// Commands come by a channel of their own, which the loop reads first.
+    ///
+    /// Guards against a command that waits behind a crowd of requests: the operator is owed an answer in a second.
+    pub(super) fn obey(&mut self, now: Micros, command: Command) {
+        match command {
+            Command::Admin(AdminCommand::Disable(node, done)) => self.set_banned(now, &node, true, &done),
+            Command::Admin(AdminCommand::Enable(node, done)) => self.set_banned(now, &node, false, &done),
+            Command::HandOver(command) => self.obey_hand_over(now, command),
+        }
+    }
+
+    fn set_banned(&mut self, now: Micros, node: &ServerId, out: bool, done: &Sender<bool>) {
+        let members = self.ban(now, node, out);
+        let known = members.is_some();
+        self.listed(now, Scope::Changes, members.unwrap_or_default());
+        _ = done.try_send(known);
+    }
+
+    fn obey_hand_over(&mut self, now: Micros, command: HandOverCommand) {
+        match command {
+            HandOverCommand::GiveState(to) => {
                 let bans = self.bans.all();
-                let given = Given { bans, ..self.gateway.give() };
-                self.given = Some(given.clone());
-                _ = to.try_send(given);
-                return;
+                let state = LearnedState { bans, ..self.gateway.learned_state() };
+                self.handed_over_state = Some(state.clone());
+                _ = to.try_send(state);
             }
-            Order::TakeBack => return self.given.take().into_iter().for_each(|g| self.gateway.take_back(g)),
-            Order::Alone => return self.given = None,
-            Order::Take(given, told) => {
-                let members = given.bans.iter().flat_map(|ban| self.bans.take(ban)).collect();
+            HandOverCommand::ReclaimState => {
+                if let Some(state) = self.handed_over_state.take() {
+                    self.gateway.reclaim_state(state);
+                }
+            }
+            HandOverCommand::SuccessorGone => self.handed_over_state = None,
+            HandOverCommand::AdoptState(state, done) => {
+                let members = state.bans.iter().flat_map(|ban| self.bans.take(ban)).collect();
                 self.listed(now, Scope::Changes, members);
-                self.before = self.gateway.take(now, given);
-                _ = told.try_send(());
-                return;
+                self.before = self.gateway.adopt_state(now, state);
+                _ = done.try_send(());
             }
-            Order::Heard(news) => return self.hear(now, news),
-            Order::Finish => return self.finishing = true,
-        };
-        let known = members.is_some();
-        self.listed(now, Scope::Changes, members.unwrap_or_default());
-        _ = told.try_send(known);
+            HandOverCommand::PeerNews(news) => self.hear(now, news),
+            HandOverCommand::Finish => self.finishing = true,
+        }
     }
 
     /// Takes a node out or puts it back, here and at the other process.
@@ -65,12 +116,12 @@
                     self.gateway.ended_before(&account);
                 }
             }
-            Body::Bye(bye) => {
+            Body::FinalReport(report) => {
                 // Whatever it had out has ended with it.
                 for (account, out) in std::mem::take(&mut self.before) {
                     (0..out).for_each(|_| self.gateway.ended_before(&account));
                 }
-                self.gateway.take_untold(bye);
+                self.gateway.take_unreported(report);
             }
             _ => {}
         }
--- a/src/limiter/messages.rs
+++ b/src/limiter/messages.rs
@@ -1,9 +1,8 @@
 //! The messages of the core: what reaches it, and what it wants done outside.
 
 use crate::fleet::parts::Standing;
-use crate::handover::message::{Body, Given};
+use crate::handover::message::Body;
 use crate::interface::*;
-use crossbeam_channel::Sender;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -103,28 +102,6 @@
     pub call: E::Call,
 }
 
-/// An operator's word to the core, which looks at these before anything else. It is told false if no such node was
-/// ever listed.
-#[derive(Clone, Debug)]
-pub enum Order {
-    /// Take a ticket node out.
-    Disable(ServerId, Sender<bool>),
-    /// Put it back.
-    Enable(ServerId, Sender<bool>),
-    /// Give what is known to a successor, and tell of each attempt that ends from now on.
-    Give(Sender<Given>),
-    /// The successor did not serve.
-    TakeBack,
-    /// There is no successor any more.
-    Alone,
-    /// Take what a predecessor knew.
-    Take(Given, Sender<()>),
-    /// The other process has news.
-    Heard(Body),
-    /// Everything open is answered or handed over: end.
-    Finish,
-}
-
 /// What reaches the core.
 pub enum Input<E: Edges> {
     /// News of the node list.
@@ -174,8 +151,8 @@
     },
     /// What the fleet's view lets this limiter count on.
     Fleet(Standing),
-    /// There is an order.
-    Ordered,
+    /// There is a [`Command`](super::Command).
+    CommandWaits,
     /// Answer what is open and come to an end, by this moment at the latest.
     Stop(Instant),
 }
--- a/src/limiter/mod.rs
+++ b/src/limiter/mod.rs
@@ -13,10 +13,11 @@
 mod requests;
 mod timers;
 
-pub use messages::{Answer, AttemptId, Edges, Incoming, Input, Order, Wait};
+pub use commands::{AdminCommand, Command, HandOverCommand};
+pub use messages::{Answer, AttemptId, Edges, Incoming, Input, Wait};
 pub use timers::Clock;
 
-use crate::handover::message::{Bye, Given};
+use crate::handover::message::{FinalReport, LearnedState};
 use crate::interface::*;
 use crate::log_throttle::LogThrottle;
 use crate::Gateway;
@@ -38,7 +39,7 @@
     gateway: Gateway,
     bans: Bans,
     /// What a successor was given.
-    given: Option<Given>,
+    handed_over_state: Option<LearnedState>,
     /// Attempts of a predecessor that are still out, by account.
     before: HashMap<CustomerId, u32>,
     /// A successor serves, and nothing is to begin here.
@@ -89,7 +90,7 @@
             counter_timeout: settings.counter_timeout.max(1_000),
             gateway: Gateway::new(settings, seed),
             bans: Bans::default(),
-            given: None,
+            handed_over_state: None,
             before: HashMap::new(),
             finishing: false,
             edges,
@@ -113,7 +114,7 @@
     }
 
     /// Runs until it is stopped and everything open is answered.
-    pub fn run(mut self, inputs: Receiver<Input<E>>, orders: Receiver<Order>) -> Bye {
+    pub fn run(mut self, inputs: Receiver<Input<E>>, commands: Receiver<Command>) -> FinalReport {
         // What has come by the end is still taken.
         while self.goes_on() || !(self.stopped || inputs.is_empty()) {
             let input = match self.timers.next() {
@@ -121,8 +122,8 @@
                 None => inputs.recv().map_err(|_| RecvTimeoutError::Disconnected),
             };
             let now = self.clock.now();
-            for order in orders.try_iter() {
-                self.obey(now, order);
+            for command in commands.try_iter() {
+                self.obey(now, command);
             }
             match input {
                 Ok(input) => self.take(now, input),
@@ -133,7 +134,7 @@
                 self.fall_due(now, due);
             }
         }
-        self.gateway.untold()
+        self.gateway.unreported_units()
     }
 
     /// Up to the end of the last connection: a request may come on each that is there. A predecessor hands these over, and
@@ -142,7 +143,7 @@
         if self.finishing {
             return !self.open.is_empty() || !self.counts.is_empty();
         }
-        let alone = self.stopping && self.given.is_none();
+        let alone = self.stopping && self.handed_over_state.is_none();
         !self.stopped && (!alone || !self.open.is_empty() || self.edges.agents())
     }
 
@@ -184,7 +185,7 @@
             }
             Input::Fleet(standing) => self.tell(now, Event::Fleet(standing)),
             // Looked at already.
-            Input::Ordered => {}
+            Input::CommandWaits => {}
             Input::Stop(by) => {
                 info!(self.log, "stopping"; "open" => self.open.len());
                 self.stopping = true;
--- a/src/net/wiring.rs
+++ b/src/net/wiring.rs
@@ -6,15 +6,15 @@
 use super::shutdown::{last_requests, LAST_ANSWERS, LAST_COMMANDS, STILL_COMING, STILL_WRITTEN};
 use super::ticket_nodes::{TicketNodes, UpstreamProtocol};
 use crate::config::{Common, NodeNews};
-use crate::control::line::{self, Desk};
+use crate::control::line::{self, AdminContext};
 use crate::figures::Figures;
 use crate::fleet::link::Fleet;
 use crate::fleet::parts::Standing;
 use crate::handover::link::Link;
-use crate::handover::message::{Body, Given};
+use crate::handover::message::{Body, LearnedState};
 use crate::handover::{Beside, Limiting};
 use crate::interface::{Scope, ServerId};
-use crate::limiter::{Answer, AttemptId, Clock, Core, Edges, Input, Order, Wait};
+use crate::limiter::{Answer, AttemptId, Clock, Command, Core, Edges, HandOverCommand, Input, Wait};
 use crossbeam_channel::{bounded, unbounded, Receiver, Sender};
 use slog::{info, o, warn, Logger};
 use socket2::{Domain, Socket, Type};
@@ -104,7 +104,7 @@
 pub struct Limiter<P: ClientProtocol> {
     core: Core<Wiring<P::Upstream>>,
     inputs: Receiver<Input<Wiring<P::Upstream>>>,
-    orders: Receiver<Order>,
+    commands: Receiver<Command>,
     beside: Option<Arc<Beside>>,
     front: Arc<Front<P>>,
     queue: Queue<P::Upstream>,
@@ -129,7 +129,7 @@
         counter: impl FnOnce(super::count_lines::Counted) -> io::Result<Option<CountLines>>,
         log: &Logger,
     ) -> io::Result<Self> {
-        let ((queue, inputs), (to_core, orders)) = (unbounded(), unbounded());
+        let ((queue, inputs), (to_core, commands)) = (unbounded(), unbounded());
         let figures = Figures::new(common.class_names);
         let (for_agents, for_nodes) = shares(common.descriptors);
         // Operators tell when a new process may take over: without them, and on platforms that give no folder, none does.
@@ -168,10 +168,13 @@
         front.set_accepting(joined.is_none());
         front.listen(listener.try_clone()?)?;
         let (own, wake) = (front.clone(), queue.clone());
-        let order = move |order| {
-            _ = to_core.send(order);
-            _ = wake.send(Input::Ordered);
+        let command = move |command| {
+            _ = to_core.send(command);
+            _ = wake.send(Input::CommandWaits);
         };
+        let for_hand_over = command.clone();
+        let hand_over = move |asked| for_hand_over(Command::HandOver(asked));
+        let admin = move |asked| command(Command::Admin(asked));
         let (clock, to) = (Clock::start(), queue.clone());
         let limiters = Arc::new(AtomicU32::new(common.settings.gateways));
         let living = limiters.clone();
@@ -188,17 +191,17 @@
             nodes: nodes.clone(),
             shares: (for_agents, for_nodes),
             figures: figures.clone(),
-            order: Box::new(order.clone()),
+            command: Box::new(hand_over),
         };
         change.share(joined.is_some());
-        let desk = || Desk {
+        let admin_context = || AdminContext {
             figures: figures.clone(),
             fleet: fleet.clone(),
             ready: Box::new(move || own.is_ready()),
-            order: Box::new(order),
+            command: Box::new(admin),
             log: log.new(o!("part" => "control")),
         };
-        let control = common.control.map(|at| line::listen(at, desk())).transpose()?;
+        let control = common.control.map(|at| line::listen(at, admin_context())).transpose()?;
         info!(log, "listening"; "at" => %bound, "limiter" => common.name,
             "control" => control.map(|at| at.to_string()));
         let news = match &beside {
@@ -225,7 +228,7 @@
         Ok(Self {
             core,
             inputs,
-            orders,
+            commands,
             beside,
             front,
             queue,
@@ -279,7 +282,7 @@
 
     /// Runs the core on this thread until it is stopped; then waits for the last answers to be written.
     pub fn run(self) {
-        let untold = self.core.run(self.inputs, self.orders);
+        let untold = self.core.run(self.inputs, self.commands);
         self.front.wait_closed(LAST_ANSWERS);
         _ = self.beside.map(|beside| beside.farewell(untold));
     }
@@ -310,7 +313,7 @@
     /// Connections of agents and to ticket nodes, of a limiter that is alone.
     shares: (usize, usize),
     figures: Arc<Figures>,
-    order: Box<dyn Fn(Order) + Send + Sync>,
+    command: Box<dyn Fn(HandOverCommand) + Send + Sync>,
 }
 
 /// The core looks at orders first, but has a part of a processor alone.
@@ -321,19 +324,19 @@
         &self.listener
     }
 
-    fn give(&self) -> Option<Given> {
-        let (to, given) = bounded(1);
-        (self.order)(Order::Give(to));
-        given.recv_timeout(CORE_WAIT).ok()
+    fn give_state(&self) -> Option<LearnedState> {
+        let (to, state) = bounded(1);
+        (self.command)(HandOverCommand::GiveState(to));
+        state.recv_timeout(CORE_WAIT).ok()
     }
 
-    fn take_back(&self) {
-        (self.order)(Order::TakeBack);
+    fn reclaim_state(&self) {
+        (self.command)(HandOverCommand::ReclaimState);
     }
 
-    fn take(&self, given: Given) {
+    fn adopt_state(&self, state: LearnedState) {
         let (to, taken) = bounded(1);
-        (self.order)(Order::Take(given, to));
+        (self.command)(HandOverCommand::AdoptState(state, to));
         _ = taken.recv_timeout(CORE_WAIT);
     }
 
@@ -350,7 +353,7 @@
         // Two processes are one member: the one that serves speaks.
         self.fleet.iter().for_each(|fleet| fleet.speak(to.is_none()));
         if to.is_none() {
-            (self.order)(Order::Alone);
+            (self.command)(HandOverCommand::SuccessorGone);
         }
         let pass = to.map(|link| -> ConnectionHandOver {
             Arc::new(move |stream, read| {
@@ -365,7 +368,7 @@
     }
 
     fn hear(&self, news: Body) {
-        (self.order)(Order::Heard(news));
+        (self.command)(HandOverCommand::PeerNews(news));
     }
 
     /// Agents' connections move from the one to the other, so that neither has many of them for long. Connections to
@@ -381,7 +384,7 @@
     }
 
     fn depart(&self) {
-        (self.order)(Order::Finish);
+        (self.command)(HandOverCommand::Finish);
     }
 }
 
--- a/tests/units/handover_link.rs
+++ b/tests/units/handover_link.rs
@@ -3,7 +3,7 @@
 use mossrill::handover::link::{Deaf, Link};
 use mossrill::handover::message::Account;
 use mossrill::handover::message::Body;
-use mossrill::handover::message::Given;
+use mossrill::handover::message::LearnedState;
 use std::io::Read;
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
@@ -25,7 +25,7 @@
     let mut client = TcpStream::connect(listener.local_addr().expect("an address")).expect("connected");
     let (stream, _) = listener.accept().expect("a connection");
     let accounts = (0..10_000).map(|n| Account { id: format!("{n:016x}"), ..Account::default() });
-    let given = Body::Given(Given { accounts: accounts.collect(), ..Given::default() });
+    let given = Body::LearnedState(LearnedState { accounts: accounts.collect(), ..LearnedState::default() });
     std::thread::scope(|scope| {
         scope.spawn(|| {
             use std::os::fd::AsFd;
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -3,7 +3,7 @@
 mod peers;
 
 use mossrill::handover::link::Link;
-use mossrill::handover::message::{Account, Body, Given};
+use mossrill::handover::message::{Account, Body, LearnedState};
 use peers::*;
 use serde_json::Value;
 use std::collections::HashMap;
@@ -116,7 +116,7 @@
         while matches!(heard, Ok((Body::Ended(_), _))) {
             heard = link.hear(wait);
         }
-        assert!(matches!(heard, Ok((Body::Given(_), _))), "{:?}", heard.map(|(body, _)| body));
+        assert!(matches!(heard, Ok((Body::LearnedState(_), _))), "{:?}", heard.map(|(body, _)| body));
     }
     // And dies, once this is dropped.
     link
@@ -251,7 +251,11 @@
         let account = "00000000b4d65521".to_owned();
         link.say(Body::Ended(account.clone()), None).expect("said");
         let account = Account { id: account, spread: 1, level: 100.0, open: 1, ..Account::default() };
-        link.say(Body::Given(Given { accounts: vec![account], ..Given::default() }), None).expect("said");
+        link.say(
+            Body::LearnedState(LearnedState { accounts: vec![account], ..LearnedState::default() }),
+            None,
+        )
+        .expect("said");
         assert!(matches!(link.hear(wait), Ok((Body::Serving(_), None))));
         link
     });
