--- a/src/limiter/messages.rs
+++ b/src/limiter/messages.rs
@@ -53,8 +53,15 @@
     type Value;
     /// Gives a request its final answer.
     fn answer(&mut self, client: Self::Client, answer: Answer<Self::Value>);
-    /// Starts an attempt.
-    fn start(&mut self, attempt: AttemptId, node: &ServerId, call: &Arc<Self::Call>, wait: Wait);
+    /// Starts an attempt for this client, of which nothing is written once the client has closed its connection.
+    fn start(
+        &mut self,
+        attempt: AttemptId,
+        node: &ServerId,
+        call: &Arc<Self::Call>,
+        wait: Wait,
+        client: &Self::Client,
+    );
     /// Gives an attempt up; whatever it still brings is dropped. False if not a byte of it was written: it never
     /// ran and never will.
     fn cancel(&mut self, attempt: AttemptId) -> bool;
--- a/src/net/front/connection.rs
+++ b/src/net/front/connection.rs
@@ -3,6 +3,7 @@
 use super::protocol::{ClientProtocol, Reply, ValueOf};
 use crate::figures::InFlightRequest;
 use crate::net::lock;
+use crate::net::ticket_nodes::Presence;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::collections::VecDeque;
 use std::net::{Shutdown, TcpStream};
@@ -146,7 +147,7 @@
     }
 
     /// The agent left while it was not read from. Seen once reading goes on, before a request of its is taken.
-    pub(super) fn peer_has_left(&self) -> bool {
+    pub(super) fn peer_left_while_paused(&self) -> bool {
         let mut state = lock(&self.state);
         let left = std::mem::take(&mut state.reading_was_paused)
             && !state.closing_when_read
@@ -179,6 +180,14 @@
     }
 }
 
+impl<P: ClientProtocol> Presence for ClientConnection<P> {
+    /// While the limiter itself ends the connection, the client's own end can't be told from ours.
+    fn has_left(&self) -> bool {
+        let closing = lock(&self.state).closing_when_read;
+        !closing && peer_hung_up(&self.stream)
+    }
+}
+
 /// The agent has closed its connection, whether or not all that it sent has been read.
 pub(super) fn peer_hung_up(stream: &TcpStream) -> bool {
     let mut one = [PollFd::new(stream, PollFlags::RDHUP)];
