The list is heard within 6 s of its return, whatever came of the calls before

Cause (read, and worked out by a test): a call that was not answered was given up after 4.5 s, one whose head never ended not at all; a limiter of 300 that was turned away waited up to 5 s. With a watch that fell silent or a call given up, and the answer to the next one lost, 9.7 s and more went by before the list was heard (7.8 s with the shortest drain grace).

Change: the answer to a call is waited for 1 s, or 2 s after calls in vain, head and whole list together; a watch counts as broken after 3.2 s (an empty line comes each 2 s); no wait before a call that may be answered is longer than 0.7 s; one that was turned away waits 3.8 s at the most, and half of that at the least, so that a fleet of 100 that is turned away together calls no more often than before.

The test of a fleet that comes back one after another stands as it was, with the waits of each call by what came of the one before.

--- a/src/net/node_list.rs
+++ b/src/net/node_list.rs
@@ -2,26 +2,19 @@
 
 use super::http::{Body, Broken, Reader};
 use super::lock;
-use super::node_list_waits::{next_wait, spread, turns, Call, TURN};
+use super::node_list_waits::{
+    answer_timeout, first_wait, next_wait, spread, turns, Call, CONNECT_TIMEOUT, WATCH_TIMEOUT,
+};
 use crate::config::{self, NodeNews};
 use crossbeam_channel::{unbounded, Receiver, Sender};
 use serde_json::Value;
 use slog::{info, warn, Logger};
-use std::io::{self, Write};
+use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// An empty line comes every 2 s; a watch silent for longer than this is broken.
-const SILENCE: Duration = Duration::from_millis(4_500);
-const CONNECT: Duration = Duration::from_secs(1);
-/// The longest wait before a list is asked that may answer at once, as a part of the time for which a node told to be
-/// draining may still be sent to.
-///
-/// Guards against a limiter of a large fleet that asks too late: what the list has to tell counts as told from the start on
-/// to a limiter that could have asked, and nothing may go to a drained node after that time.
-const FIRST_PART: f64 = 0.7;
 /// What comes at once is the whole list at most.
 const LONGEST_NEWS: usize = 4 << 20;
 
@@ -56,7 +49,7 @@
     let rng = fastrand::Rng::with_seed(seed);
     let watch = Watch { moved: moved.clone(), current: Arc::default() };
     let current = watch.current.clone();
-    let first = grace.mul_f64(FIRST_PART).max(TURN);
+    let first = first_wait(grace);
     let mut follower = Follower {
         from,
         generation: Some(generation),
@@ -66,6 +59,7 @@
         limiters,
         first,
         call: Call::Heard,
+        given_up: 0,
         rng,
         news,
         log,
@@ -74,6 +68,39 @@
     Ok(watch)
 }
 
+/// Reads an answer up to a moment, or for as long as something comes now and then.
+///
+/// Guards against a list that sends an answer a byte at a time and never ends it.
+struct TimedReader<'a> {
+    stream: &'a TcpStream,
+    until: Option<Instant>,
+}
+
+impl<'a> TimedReader<'a> {
+    fn until(stream: &'a TcpStream, timeout: Duration) -> Self {
+        Self { stream, until: Some(Instant::now() + timeout) }
+    }
+
+    /// From now on only a silence of a watch ends the reading.
+    fn goes_on_while_heard(&mut self) -> io::Result<()> {
+        self.until = None;
+        self.stream.set_read_timeout(Some(WATCH_TIMEOUT))
+    }
+}
+
+impl Read for TimedReader<'_> {
+    fn read(&mut self, to: &mut [u8]) -> io::Result<usize> {
+        if let Some(until) = self.until {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+            self.stream.set_read_timeout(Some(left))?;
+        }
+        self.stream.read(to)
+    }
+}
+
 struct Follower<N> {
     from: SocketAddr,
     /// The version last told of; none where the list has to be read whole.
@@ -88,6 +115,8 @@
     first: Duration,
     /// What came of the last call.
     call: Call,
+    /// Calls in a row of which not even the head of an answer came.
+    given_up: u32,
     rng: fastrand::Rng,
     news: N,
     log: Logger,
@@ -104,7 +133,7 @@
         loop {
             wait = next_wait(wait, self.turns(), self.first, self.call);
             // Before the first call too: limiters that start together would all ask within a few milliseconds.
-            let mut moved = self.moves.recv_timeout(spread(wait, self.rng.f64())).ok();
+            let mut moved = self.moves.recv_timeout(spread(wait, self.call, self.rng.f64())).ok();
             while let Some(at) = moved {
                 info!(self.log, "node list moved"; "to" => %at);
                 (self.from, self.generation) = (at, None);
@@ -119,15 +148,14 @@
                 warn!(self.log, "node list watch broke"; "fault" => ?fault, "generation" => self.generation);
             }
             // A watch that went on for a while is no caller turned away, though it brought no news.
-            if began.elapsed() >= SILENCE {
+            if began.elapsed() >= WATCH_TIMEOUT {
                 self.call = Call::Heard;
             }
         }
     }
 
     fn connect(&self) -> Result<TcpStream, Broken> {
-        let stream = TcpStream::connect_timeout(&self.from, CONNECT)?;
-        stream.set_read_timeout(Some(SILENCE))?;
+        let stream = TcpStream::connect_timeout(&self.from, CONNECT_TIMEOUT)?;
         stream.set_nodelay(true)?;
         *lock(&self.current) = Some(stream.try_clone()?);
         // Whoever sent the watch elsewhere meanwhile found no connection to close.
@@ -143,10 +171,14 @@
     }
 
     fn follow(&mut self) -> Result<(), Broken> {
+        let answer_timeout = answer_timeout(self.given_up);
+        self.given_up = self.given_up.saturating_add(1);
         if self.generation.is_none() {
             let stream = self.connect()?;
             self.ask(&stream, "")?;
-            let (head, list) = Reader::new(&stream).response_with_body(LONGEST_NEWS, false)?;
+            let mut reader = Reader::new(TimedReader::until(&stream, answer_timeout));
+            let (head, list) = reader.response_with_body(LONGEST_NEWS, false)?;
+            self.given_up = 0;
             if head.status != 200 {
                 return Err(self.turned_away("not a node list"));
             }
@@ -157,8 +189,10 @@
         }
         let stream = self.connect()?;
         self.ask(&stream, &format!("?watch=1&from={}", self.generation.unwrap_or(0)))?;
-        let mut reader = Reader::new(&stream);
+        let mut reader = Reader::new(TimedReader::until(&stream, answer_timeout));
         let head = reader.response()?;
+        self.given_up = 0;
+        reader.source().goes_on_while_heard()?;
         if head.status != 200 || head.body != Body::Chunked {
             return Err(self.turned_away("not a watch"));
         }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -580,11 +580,16 @@
     }
 }
 
-#[test]
-fn a_watch_that_is_reset_again_and_again_is_asked_for_each_time_before_a_drain_binds() {
+/// A node that serves "old", and the news that it drains and another one, which serves "new", is there.
+fn replaced_node() -> (SocketAddr, String) {
     let (old, new) = (resp_peer(|_, _| serve("old")).0, resp_peer(|_, _| serve("new")).0);
     let change = [entry("s-1", old, "terminating"), entry("s-2", new, "in_service")];
-    let news = serde_json::json!({"generation": 9, "reset": false, "instances": change}).to_string();
+    (old, serde_json::json!({"generation": 9, "reset": false, "instances": change}).to_string())
+}
+
+#[test]
+fn a_watch_that_is_reset_again_and_again_is_asked_for_each_time_before_a_drain_binds() {
+    let (old, news) = replaced_node();
     let list = peer(move |number, stream| {
         let mut from = BufReader::new(stream);
         _ = http(&mut from, false);
@@ -604,6 +609,36 @@
     serves_until(&limiter, "new");
 }
 
+#[test]
+fn calls_that_the_list_does_not_answer_or_answers_without_end_are_given_up_early() {
+    let (old, news) = replaced_node();
+    let list = peer(move |number, stream| {
+        let mut from = BufReader::new(stream);
+        _ = http(&mut from, false);
+        let to = from.get_mut();
+        // Silent three times, and then a head that never ends, twice.
+        if (3..5).contains(&number) {
+            to.write_all(b"HTTP/1.1 200 OK\r\nX: ").expect("written");
+            while to.write_all(b"x").is_ok() {
+                thread::sleep(Duration::from_millis(20));
+            }
+            return;
+        }
+        if number >= 5 {
+            let text = format!(
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{news}\r\n",
+                news.len()
+            );
+            to.write_all(text.as_bytes()).expect("written");
+        }
+        _ = http(&mut from, false);
+    });
+    let mut told = settings(list, quota_counter().0, &[("s-1", old)]);
+    told["settings"]["balancers"] = 300.into();
+    told["settings"]["safety"]["drainGrace"] = 1_000_000.into();
+    serves_until(&limiter(&told), "new");
+}
+
 #[test]
 fn sent_to_another_list_it_hears_nothing_more_of_the_old_one_though_that_speaks_on() {
     let (old, new) = (resp_peer(|_, _| serve("old")).0, resp_peer(|_, _| serve("new")).0);
