--- a/src/fleet/parts.rs
+++ b/src/fleet/parts.rs
@@ -69,6 +69,65 @@
     }
 }
 
+/// Binary digits of a count in [`Tally`]: enough for every fleet that can be configured.
+const TALLY_DIGITS: usize = 13;
+/// Limiters whose counts share the words of [`Tally`].
+const TALLY_LANES: usize = u64::BITS as usize;
+
+/// Counts the votes on many limiters at once. Word `n` of `counts` holds digit `d` of the counts of 64 limiters in its
+/// element `d`, so that a set of votes is added by a few operations a word. Counts begin so far below an overflow that
+/// the vote which completes the majority overflows.
+struct Tally {
+    counts: Vec<[u64; TALLY_DIGITS]>,
+}
+
+impl Tally {
+    fn new(size: usize, majority: usize) -> Self {
+        let first = (1 << TALLY_DIGITS) - majority;
+        let digits = std::array::from_fn(|digit| if first >> digit & 1 == 1 { u64::MAX } else { 0 });
+        Self { counts: vec![digits; size.div_ceil(TALLY_LANES)] }
+    }
+
+    /// Adds a set of votes and calls `reached` with each limiter for which it completes the majority.
+    fn add(&mut self, votes: &[u8], mut reached: impl FnMut(usize)) {
+        for (word, (digits, bytes)) in self.counts.iter_mut().zip(votes.chunks(TALLY_LANES / 8)).enumerate() {
+            let mut lanes = [0; TALLY_LANES / 8];
+            lanes[..bytes.len()].copy_from_slice(bytes);
+            let mut carry = u64::from_le_bytes(lanes);
+            for digit in digits {
+                if carry == 0 {
+                    break;
+                }
+                (*digit, carry) = (*digit ^ carry, *digit & carry);
+            }
+            while carry != 0 {
+                reached(word * TALLY_LANES + carry.trailing_zeros() as usize);
+                carry &= carry - 1;
+            }
+        }
+    }
+}
+
+/// For each limiter the time to which more than half of the fleet, of `size`, has said released of it; `said` has
+/// what each said and to when that counts.
+fn majority_ends(size: usize, mut said: Vec<(Micros, &[u8])>) -> Vec<Option<Micros>> {
+    let majority = size / 2 + 1;
+    let mut ends = vec![None; size];
+    if said.len() < majority {
+        return ends;
+    }
+    said.sort_unstable_by_key(|(end, _)| std::cmp::Reverse(*end));
+    let mut tally = Tally::new(size, majority);
+    for (end, votes) in said {
+        tally.add(votes, |who| {
+            if let Some(known) = ends.get_mut(who) {
+                *known = Some(end);
+            }
+        });
+    }
+    ends
+}
+
 fn has(bits: &[u8], who: usize) -> bool {
     bits.get(who / 8).is_some_and(|byte| byte >> (who % 8) & 1 == 1)
 }
@@ -78,12 +137,14 @@
 pub struct Released {
     lease: Micros,
     bits: Vec<u8>,
+    /// No lease that is not yet released can become so before this time.
+    scan_at: Micros,
 }
 
 impl Released {
     /// Nobody yet.
     pub fn new(lease: Micros) -> Self {
-        Self { lease, bits: Vec::new() }
+        Self { lease, bits: Vec::new(), scan_at: 0 }
     }
 
     /// As it is said.
@@ -91,12 +152,19 @@
         &self.bits
     }
 
-    /// Adds those whose lease was not renewed for longer than it lasts.
-    pub fn scan<'a>(&mut self, now: Micros, ways: impl Iterator<Item = &'a Way>) {
-        for (who, _) in ways
-            .enumerate()
-            .filter(|(_, way)| way.denied.is_some_and(|since| now >= since + longer(self.lease)))
-        {
+    /// Adds those whose lease was not renewed for longer than it lasts. Looks at every limiter only when one is due.
+    pub fn scan(&mut self, now: Micros, ways: &[Way]) {
+        if now < self.scan_at {
+            return;
+        }
+        self.scan_at = Micros::MAX;
+        for (who, way) in ways.iter().enumerate() {
+            let Some(since) = way.denied.filter(|_| !has(&self.bits, who)) else { continue };
+            let due = since + longer(self.lease);
+            if now < due {
+                self.scan_at = self.scan_at.min(due);
+                continue;
+            }
             if self.bits.len() <= who / 8 {
                 self.bits.resize(who / 8 + 1, 0);
             }
@@ -107,7 +175,8 @@
     /// A peer has come to life, or has ceased to live, as this limiter sees it.
     pub fn changed(&mut self, now: Micros, who: usize, lives: bool, way: &mut Way) {
         if !lives {
-            way.denied = way.denied.or(Some(now));
+            let since = *way.denied.get_or_insert(now);
+            self.scan_at = self.scan_at.min(since + longer(self.lease));
             return;
         }
         way.denied = None;
@@ -151,29 +220,27 @@
         now: Micros,
         (me, kept): (u32, f64),
         living: &[bool],
-        ways: &[&Way],
+        ways: &[Way],
         released: &Released,
     ) -> Self {
-        let majority = ways.len() / 2 + 1;
-        let others = || ways.iter().enumerate().filter(|(who, _)| *who != me as usize).map(|(_, way)| *way);
-        let mut ends: Vec<_> = others().filter_map(|way| way.granted.map(|at| at + released.lease)).collect();
-        ends.sort_unstable_by_key(|end| std::cmp::Reverse(*end));
+        let (size, lease) = (ways.len(), released.lease);
+        let others = || ways.iter().enumerate().filter(|(who, _)| *who != me as usize).map(|(_, way)| way);
+        let mut ends: Vec<_> = others().filter_map(|way| way.granted.map(|at| at + lease)).collect();
         // It renews its own.
-        let until = match majority - 1 {
+        let until = match size / 2 {
             0 => Micros::MAX,
-            wanted => ends.get(wanted - 1).copied().unwrap_or(0),
-        };
-        // What it says itself it says now.
-        let own = (now + released.lease, released.bits());
-        let theirs = others().filter_map(|way| way.said.map(|at| (at + released.lease, &*way.released)));
-        let mut said: Vec<_> = theirs.filter(|(end, _)| now < *end).chain([own]).collect();
-        said.sort_unstable_by_key(|(end, _)| std::cmp::Reverse(*end));
-        // To when more than half of the fleet have it so.
-        let voted = |who: &usize| {
-            let votes = said.iter().filter(|(_, bits)| has(bits, *who));
-            votes.map(|(end, _)| *end).nth(majority - 1)
+            wanted if wanted <= ends.len() => {
+                *ends.select_nth_unstable_by_key(wanted - 1, |end| std::cmp::Reverse(*end)).1
+            }
+            _ => 0,
         };
-        let given: Vec<_> = (0..ways.len()).map(|who| voted(&who).filter(|_| !living[who])).collect();
+        // What it says itself it says now. Who says released of nobody has no vote to count.
+        let own = (now + lease, released.bits());
+        let theirs = others().filter_map(|way| way.said.map(|at| (at + lease, &*way.released)));
+        let counts = |(end, votes): &(Micros, &[u8])| now < *end && !votes.is_empty();
+        let said: Vec<_> = theirs.chain([own]).filter(counts).collect();
+        let mut given = majority_ends(size, said);
+        given.iter_mut().zip(living).filter(|(_, lives)| **lives).for_each(|(end, _)| *end = None);
         let given_until = given.iter().flatten().min().copied().unwrap_or(Micros::MAX);
         let given_away = given.iter().map(Option::is_some).collect();
         let living = living.iter().filter(|lives| **lives).count() as u32;
@@ -226,10 +293,7 @@
     fn a_lease_needs_more_than_half_and_lasts_from_what_was_surely_heard() {
         let mut ways = vec![Way::default(), Way::new(0, LEASE), Way::new(0, LEASE)];
         let released = Released::new(LEASE);
-        let until = |ways: &[Way]| {
-            let ways: Vec<_> = ways.iter().collect();
-            Standing::new(100, (0, 0.5), &[true; 3], &ways, &released).until
-        };
+        let until = |ways: &[Way]| Standing::new(100, (0, 0.5), &[true; 3], ways, &released).until;
         assert_eq!(until(&ways), 0);
         ways[1].told(90, true, &[]);
         assert_eq!(until(&ways), 100);
@@ -249,13 +313,12 @@
         released.changed(1, 1, true, &mut ways[1]);
         released.changed(1, 2, true, &mut ways[2]);
         released.changed(20, 2, false, &mut ways[2]);
-        released.scan(30, ways.iter());
+        released.scan(30, &ways);
         assert!(released.bits().is_empty());
-        released.scan(31, ways.iter());
+        released.scan(31, &ways);
         assert_eq!(released.bits(), [4]);
         let standing = |now, ways: &[Way], released: &Released| {
-            let ways: Vec<_> = ways.iter().collect();
-            Standing::new(now, (0, 0.5), &[true, true, false], &ways, released)
+            Standing::new(now, (0, 0.5), &[true, true, false], ways, released)
         };
         ways[1].told(30, true, &[]);
         assert_eq!(standing(32, &ways, &released).given_away, [false; 3]);
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -170,8 +170,6 @@
     since: Micros,
     by: u32,
     version: u32,
-    /// Datagrams that are still to tell of it.
-    retell: u32,
     suspicion: Option<Suspicion>,
     /// Its session, what came in it, and what was sent to it: the last numbers with their times.
     session: u64,
@@ -179,7 +177,6 @@
     number: u64,
     sent: [(u64, Micros); SENT],
     heard: Option<Micros>,
-    lease: parts::Way,
 }
 
 impl Member {
@@ -252,6 +249,13 @@
     session: u64,
     rng: fastrand::Rng,
     members: Vec<Member>,
+    /// By number, beside `members`, as each of these is looked through often: who is held for living, datagrams that
+    /// are still to tell of it, and what was said of leases.
+    living: Vec<bool>,
+    retell: Vec<u32>,
+    ways: Vec<parts::Way>,
+    /// No member is to be forgotten before this time.
+    forget_at: Micros,
     /// Numbers of the others, in the order in which they are asked, and in which lost ones are.
     round: Vec<usize>,
     place: usize,
@@ -284,7 +288,9 @@
         let (me, size) = (setup.me as usize, setup.size as usize);
         let mut members: Vec<Member> = (0..size).map(|_| Member::default()).collect();
         let lease = parts::lease(setup.period, setup.size);
-        members.iter_mut().for_each(|m| m.lease = parts::Way::new(now, lease));
+        let mut ways = vec![parts::Way::new(now, lease); size];
+        ways[me] = parts::Way::default();
+        let living = (0..size).map(|who| who == me).collect();
         for (who, address) in &setup.seeds {
             let member = &mut members[*who as usize];
             (member.address, member.seed) = (Some(*address), true);
@@ -292,7 +298,6 @@
         let own = &mut members[me];
         (own.state, own.incarnation, own.since) = (State::Alive, incarnation.max(1), now);
         (own.by, own.version, own.address) = (setup.me, setup.version, Some(setup.address));
-        own.lease = parts::Way::default();
         let mut round: Vec<usize> = (0..size).filter(|n| *n != me).collect();
         rng.shuffle(&mut round);
         let first = now + rng.u64(0..setup.period.max(1));
@@ -303,6 +308,10 @@
             strangers: Bucket::new(f64::from(setup.in_per_s) / 2.0, now),
             rng,
             members,
+            living,
+            retell: vec![0; size],
+            ways,
+            forget_at: Micros::MAX,
             round,
             place: 0,
             lost: 0,
@@ -382,7 +391,7 @@
             }
             let who = self.round[self.place];
             self.place = (self.place + 1) % self.round.len();
-            (self.members[who].state.lives() && self.members[who].address.is_some()).then_some(who)
+            (self.living[who] && self.members[who].address.is_some()).then_some(who)
         });
         if let Some(target) = target {
             if self.say(now, target, Word::Ping(true), todo) {
@@ -396,8 +405,8 @@
         for _ in 0..if target.is_some() { 1 } else { HELPERS } {
             let lost = (0..self.round.len()).find_map(|_| {
                 self.lost = (self.lost + 1) % self.round.len();
-                let member = &self.members[self.round[self.lost]];
-                (!member.state.lives() && member.address.is_some()).then_some(self.round[self.lost])
+                let who = self.round[self.lost];
+                (!self.living[who] && self.members[who].address.is_some()).then_some(who)
             });
             if let Some(lost) = lost {
                 self.say(now, lost, Word::Ping(true), todo);
@@ -464,23 +473,32 @@
     }
 
     fn forget(&mut self, now: Micros) {
-        let forget = self.setup.forget;
-        for member in self.members.iter_mut().filter(|m| matches!(m.state, State::Dead | State::Left)) {
-            if now >= member.since + forget {
-                (member.state, member.forgotten, member.retell) = (State::Unknown, true, 0);
-                member.since = now;
-                if !member.seed {
-                    member.address = None;
-                }
+        self.released.scan(now, &self.ways);
+        if now < self.forget_at {
+            return;
+        }
+        self.forget_at = Micros::MAX;
+        for (who, member) in self.members.iter_mut().enumerate() {
+            if !matches!(member.state, State::Dead | State::Left) {
+                continue;
+            }
+            let due = member.since + self.setup.forget;
+            if now < due {
+                self.forget_at = self.forget_at.min(due);
+                continue;
+            }
+            (member.state, member.forgotten, member.since) = (State::Unknown, true, now);
+            self.retell[who] = 0;
+            if !member.seed {
+                member.address = None;
             }
         }
-        self.released.scan(now, self.members.iter().map(|m| &m.lease));
     }
 
     // ---- telling ----
 
     fn gossip(&mut self, now: Micros, todo: &mut Vec<Do>) {
-        self.fresh.retain(|who| self.members[*who].retell > 0);
+        self.fresh.retain(|who| self.retell[*who] > 0);
         // A quarter is left for questions and answers.
         if self.fresh.is_empty() || self.out.level(now) < f64::from(self.setup.out_per_s) / 8.0 {
             return;
@@ -492,7 +510,7 @@
 
     fn retell(&mut self, who: usize) {
         let times = RETOLD * (self.members.len() as f64 + 1.0).log10().ceil();
-        self.members[who].retell = times as u32;
+        self.retell[who] = times as u32;
         if !self.fresh.contains(&who) {
             self.fresh.push(who);
         }
@@ -514,7 +532,7 @@
         let member = &mut self.members[to];
         member.number += 1;
         member.sent[member.number as usize % SENT] = (member.number, now);
-        let (number, grants) = (member.number, member.lease.grants(now));
+        let (number, grants) = (member.number, self.ways[to].grants(now));
         let own = self.setup.address;
         let mut datagram = Datagram {
             format: FORMAT,
@@ -568,7 +586,7 @@
             }
             size += more;
             datagram.news.push(news);
-            own.members[who].retell = own.members[who].retell.saturating_sub(1);
+            own.retell[who] = own.retell[who].saturating_sub(1);
             true
         };
         let Member { state, forgotten, .. } = self.members[to];
@@ -576,8 +594,8 @@
             add(self, to, datagram);
         }
         let mut fresh: Vec<_> = self.fresh.iter().copied().filter(|who| *who != to).collect();
-        fresh.retain(|who| self.members[*who].retell > 0 && self.members[*who].is_told());
-        fresh.sort_unstable_by_key(|who| std::cmp::Reverse(self.members[*who].retell));
+        fresh.retain(|who| self.retell[*who] > 0 && self.members[*who].is_told());
+        fresh.sort_unstable_by_key(|who| std::cmp::Reverse(self.retell[*who]));
         for who in &fresh {
             if !add(self, *who, datagram) {
                 return;
@@ -651,7 +669,7 @@
         // One that was forgotten has to be told so.
         member.address = member.address.or_else(|| datagram.address());
         if let Some(bound) = member.sent_at(datagram.heard) {
-            member.lease.told(bound, datagram.grants, &datagram.released);
+            self.ways[from].told(bound, datagram.grants, &datagram.released);
         }
         if let Some(probe) = self.probe.as_mut().filter(|p| p.target == from) {
             probe.answered |= datagram.heard >= probe.number;
@@ -766,12 +784,15 @@
         if state == State::Suspect {
             self.suspects.push(who);
         }
-        let member = &mut self.members[who];
         if state.lives() != before.lives() {
-            self.released.changed(now, who, state.lives(), &mut member.lease);
+            self.living[who] = state.lives();
+            self.released.changed(now, who, state.lives(), &mut self.ways[who]);
         }
         if state != before {
-            member.since = now;
+            self.members[who].since = now;
+            if !state.lives() {
+                self.forget_at = self.forget_at.min(now + self.setup.forget);
+            }
             todo.push(Do::Changed(Change { who: who as u32, before, state, incarnation, by }));
         }
         self.retell(who);
@@ -783,6 +804,7 @@
             self.say(now, to, Word::Leave(true), todo);
         }
         self.members[self.setup.me as usize].state = State::Left;
+        self.living[self.setup.me as usize] = false;
         self.leaving = true;
     }
 
@@ -790,9 +812,12 @@
 
     /// What this limiter may count on now.
     pub fn standing(&self, now: Micros) -> Standing {
-        let ways: Vec<_> = self.members.iter().map(|m| &m.lease).collect();
-        let living: Vec<_> = self.members.iter().map(|m| m.state.lives()).collect();
-        Standing::new(now, (self.setup.me, self.setup.kept), &living, &ways, &self.released)
+        Standing::new(now, (self.setup.me, self.setup.kept), &self.living, &self.ways, &self.released)
+    }
+
+    /// Members held for living, this one among them.
+    pub fn living(&self) -> &[bool] {
+        &self.living
     }
 
     /// Every member.
