Quota leases over TCP: frames, the daemon mossrill-allocator, and a limiter's connections to it

The decisions of allocator and holder had no way to reach each other: a report is a protocol buffer without a boundary, and nothing owned an allocator or told it which accounts it may grant for.

- frame.rs: 32 bits of length and a message, with typed errors for silent, slow, cut, empty and too long.
One time bounds a whole frame, however its bytes trickle in; memory grows with what comes, not with the length that is claimed.
- server.rs: a small thread for each connection, which reads, hands over, waits and writes, so that a limiter holds up nobody but itself; one thread owns the Allocator.
The allocators' own fleet is the existing view; its Standing becomes the Ownership.
Counts of reports, entries, grants and of what was dropped or closed, by reason, in one log line a minute.
- link.rs: one thread for each allocator that owns nothing but the connection, with timeouts, back-off with jitter and a queue of one report; an idle connection that was closed is replaced once before the allocator counts as lost.
- config.rs: typed, unknown keys refused, faults name file and key (serde_path_to_error).
The place in a fleet is read by the function that limiters use, which now takes number and size in place of all settings.

--- a/src/config.rs
+++ b/src/config.rs
@@ -219,7 +219,7 @@
             listen: root.address("listen")?,
             control: root.control()?,
             common_folder: None,
-            fleet: fleet(&root, &settings, seed)?,
+            fleet: fleet(&root, (settings.me, settings.gateways), seed)?,
             class_names: names.classes().to_vec(),
             seed,
             descriptors: (sockets as usize).min(1_024),
@@ -348,7 +348,7 @@
             listen: root.address("listen")?,
             control: root.control()?,
             common_folder: None,
-            fleet: fleet(&root, &settings, seed)?,
+            fleet: fleet(&root, (settings.me, settings.gateways), seed)?,
             class_names: description.class_names.clone(),
             seed,
             descriptors: (limits.whole("sockets", 1_024)? as usize).min(1_024),
@@ -365,7 +365,7 @@
 }
 
 /// The limiter's place in its fleet. Every key is known, so that a slip of the pen is not a default.
-fn fleet(root: &Key<'_>, settings: &Settings, seed: u64) -> Result<Option<Place>, Fault> {
+pub(crate) fn fleet(root: &Key<'_>, (me, size): (u32, u32), seed: u64) -> Result<Option<Place>, Fault> {
     const KEYS: [&str; 10] = [
         "name",
         "key",
@@ -387,8 +387,8 @@
     if let Some(word) = words.keys().find(|word| !KEYS.contains(&word.as_str())) {
         return Err(format!("key \"fleet.{word}\" is not known"));
     }
-    if settings.gateways > MOST_LIMITERS {
-        return Err(format!("key \"fleet\": {} limiters, {MOST_LIMITERS} at the most", settings.gateways));
+    if size > MOST_LIMITERS {
+        return Err(format!("key \"fleet\": {size} limiters, {MOST_LIMITERS} at the most"));
     }
     let v4 = |v: &Value| match address(v.as_str()?)? {
         SocketAddr::V4(at) => Some(at),
@@ -407,7 +407,7 @@
     for (at, entry) in key.must("seeds", "a list", Value::as_array)?.iter().enumerate() {
         let path = format!("fleet.seeds[{at}]");
         let entry = Key::new(entry, &path);
-        let top = u64::from(settings.gateways) - 1;
+        let top = u64::from(size) - 1;
         let want = format!("the number of a limiter, from 0 to {top}");
         let who = entry.must("limiter", &want, |v| v.as_u64().filter(|n| *n <= top))? as u32;
         let address = entry.must("address", "an IPv4 host:port", |v| v4(v).filter(|at| at.port() > 0))?;
@@ -419,8 +419,7 @@
         }
         seeds.push((who, address));
     }
-    if !seeds.contains(&(settings.me, own)) {
-        let me = settings.me;
+    if !seeds.contains(&(me, own)) {
         return Err(format!("key \"fleet.seeds\" lacks this limiter, number {me} at {own}"));
     }
     let secret = key.must("key", "32 hex digits or more", |v| {
@@ -436,8 +435,8 @@
     let name = |v: &'_ Value| v.as_str().filter(|n| (1..=16).contains(&n.len())).map(str::to_owned);
     Ok(Some(Place {
         setup: Setup {
-            me: settings.me,
-            size: settings.gateways,
+            me,
+            size,
             fleet: key.must("name", "text of 1 to 16 bytes", name)?,
             address: own,
             version: version(env!("CARGO_PKG_VERSION")),
--- a/src/quota_lease/mod.rs
+++ b/src/quota_lease/mod.rs
@@ -5,9 +5,13 @@
 mod account;
 pub mod allocator;
 pub mod bucket;
+pub mod config;
 mod exchange;
+pub mod frame;
 mod held;
 pub mod holder;
+pub mod link;
 pub mod message;
 pub mod ownership;
 pub mod placement;
+pub mod server;
--- /dev/null
+++ b/src/quota_lease/server.rs
@@ -0,0 +1,370 @@
+//! The allocator's process: connections of limiters, the fleet of allocators, and the thread that owns the
+//! [`Allocator`].
+//!
+//! Each connection has a thread of its own that reads a report, hands it over, waits for the answer and writes it. A
+//! limiter that is slow, silent or sends garbage so holds up its own connection alone.
+
+use super::allocator::{Allocator, AllocatorSettings, Ownership};
+use super::config::AllocatorConfig;
+use super::frame::{self, FrameError, Timeouts};
+use super::message::{Grant, MessageError, Report, Verdict};
+use crate::fleet::link::Fleet;
+use crate::fleet::parts::Standing;
+use crate::hush::Hush;
+use crate::interface::Micros;
+use crate::limiter::Clock;
+use crate::net::spawn;
+use crossbeam_channel::{bounded, unbounded, Receiver, RecvTimeoutError, Sender};
+use prost::Message;
+use slog::{info, o, warn, Logger};
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// The owner of the allocator is waited for so long when the process ends.
+const LAST_ANSWERS: Duration = Duration::from_secs(1);
+/// After an error of the listener, as when there are no file descriptors left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What the thread that owns the allocator is told. A connection has one report at most in this queue, so the number of
+/// connections bounds it.
+enum Input {
+    Report { report: Box<Report>, answer: Sender<Result<Grant, MessageError>> },
+    Unreadable(MessageError),
+    Ownership(Ownership),
+    Stop(Sender<()>),
+}
+
+/// An allocator that serves limiters.
+pub struct Server {
+    /// Where limiters connect.
+    pub address: SocketAddr,
+    queue: Sender<Input>,
+    fleet: Fleet,
+}
+
+impl Server {
+    /// Starts all threads.
+    pub fn start(config: AllocatorConfig, log: &Logger) -> io::Result<Self> {
+        let clock = Clock::start();
+        let (queue, inputs) = unbounded();
+        let listener = TcpListener::bind(config.listen)?;
+        let address = listener.local_addr()?;
+        let connections = Arc::new(Connections {
+            queue: queue.clone(),
+            timeouts: config.timeouts,
+            limit: config.connections,
+            open: AtomicUsize::new(0),
+            closed: ClosedConnections::default(),
+            closed_log: Hush::default(),
+            log: log.new(o!("part" => "connections")),
+        });
+        let owner = Owner {
+            allocator: new_allocator(&config, clock),
+            clock,
+            connections: connections.clone(),
+            figures: Figures::default(),
+            lease: Lease::default(),
+            log_interval: config.log_interval,
+            log: log.new(o!("part" => "allocator")),
+        };
+        spawn("allocator", move || owner.run(&inputs))?;
+        spawn("accept", move || connections.accept(&listener))?;
+        let to_owner = queue.clone();
+        let told = move |standing: Standing| _ = to_owner.send(Input::Ownership(ownership(&standing)));
+        let fleet = Fleet::start(config.fleet, clock, told, log.new(o!("part" => "fleet")))?;
+        fleet.speak(true);
+        info!(log, "listening"; "at" => %address, "allocator" => config.number, "of" => config.allocators);
+        Ok(Self { address, queue, fleet })
+    }
+
+    /// Ends in order: what has been received is answered, nothing is granted after that, and the other allocators are told.
+    pub fn stop(self) {
+        let (done, stopped) = bounded(1);
+        if self.queue.send(Input::Stop(done)).is_ok() {
+            _ = stopped.recv_timeout(LAST_ANSWERS);
+        }
+        self.fleet.leave();
+    }
+}
+
+fn new_allocator(config: &AllocatorConfig, clock: Clock) -> Allocator {
+    let settings = AllocatorSettings {
+        limiters: config.limiters,
+        lease: micros(config.lifetime),
+        max_accounts: config.accounts,
+        ..AllocatorSettings::default()
+    };
+    Allocator::new(config.number, config.allocators, clock.now(), settings)
+}
+
+fn micros(span: Duration) -> Micros {
+    span.as_micros() as Micros
+}
+
+/// What the fleet's leases say of the ownership of accounts.
+fn ownership(standing: &Standing) -> Ownership {
+    let given = standing.given_away.iter().enumerate().filter(|(_, given)| **given);
+    Ownership {
+        given_away: given.fold(0, |bits, (number, _)| bits | 1 << number),
+        given_until: standing.given_until,
+        until: standing.until,
+    }
+}
+
+/// Counted since the start.
+#[derive(Default)]
+struct Figures {
+    reports: u64,
+    entries: u64,
+    /// In thousandths of a unit.
+    granted: u64,
+    exhausted: u64,
+    not_owner: u64,
+}
+
+/// The thread that owns the allocator.
+struct Owner {
+    allocator: Allocator,
+    clock: Clock,
+    connections: Arc<Connections>,
+    figures: Figures,
+    lease: Lease,
+    log_interval: Duration,
+    log: Logger,
+}
+
+/// The allocator's own lease, as far as the log has told of it.
+#[derive(Default)]
+struct Lease {
+    held: bool,
+    until: Micros,
+}
+
+impl Owner {
+    fn run(mut self, inputs: &Receiver<Input>) {
+        let mut next_line = Instant::now() + self.log_interval;
+        loop {
+            let wake =
+                if self.lease.held { next_line.min(self.clock.moment(self.lease.until)) } else { next_line };
+            match inputs.recv_deadline(wake) {
+                Ok(Input::Stop(done)) => {
+                    self.log_figures();
+                    _ = done.send(());
+                    return;
+                }
+                Ok(input) => self.take(input),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            self.log_lease();
+            if Instant::now() >= next_line {
+                self.log_figures();
+                next_line = Instant::now() + self.log_interval;
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        let now = self.clock.now();
+        match input {
+            Input::Report { report, answer } => {
+                let grant = self.allocator.on_report(now, &report);
+                if let Ok(grant) = &grant {
+                    self.count(grant);
+                }
+                // Its connection may have ended.
+                _ = answer.send(grant);
+            }
+            Input::Unreadable(reason) => self.allocator.count_dropped(&reason),
+            Input::Ownership(ownership) => {
+                self.lease.until = ownership.until;
+                self.allocator.set_ownership(now, ownership);
+            }
+            // Taken by the loop.
+            Input::Stop(_) => {}
+        }
+    }
+
+    fn log_lease(&mut self) {
+        let held = self.allocator.is_serving(self.clock.now());
+        if held != self.lease.held {
+            self.lease.held = held;
+            info!(self.log, "own lease"; "held" => held);
+        }
+    }
+
+    fn count(&mut self, grant: &Grant) {
+        self.figures.reports += 1;
+        for entry in grant.entries() {
+            self.figures.entries += 1;
+            self.figures.granted += entry.units;
+            match entry.verdict {
+                Verdict::Granted => {}
+                Verdict::Exhausted => self.figures.exhausted += 1,
+                Verdict::NotOwner => self.figures.not_owner += 1,
+            }
+        }
+    }
+
+    fn log_figures(&self) {
+        let (now, figures, dropped) = (self.clock.now(), &self.figures, self.allocator.dropped());
+        let closed = &self.connections.closed;
+        info!(self.log, "figures";
+            "serving" => self.allocator.is_serving(now),
+            "accounts" => self.allocator.accounts(),
+            "connections" => self.connections.open.load(Ordering::Relaxed),
+            "reports" => figures.reports,
+            "entries" => figures.entries,
+            "granted_milli_units" => figures.granted,
+            "exhausted" => figures.exhausted,
+            "not_owner" => figures.not_owner,
+            "dropped_too_long" => dropped.too_long + closed.too_long.load(Ordering::Relaxed),
+            "dropped_malformed" => dropped.malformed + closed.empty.load(Ordering::Relaxed),
+            "dropped_format" => dropped.format,
+            "dropped_entries" => dropped.entries,
+            "dropped_unknown_sender" => dropped.unknown_sender,
+            "dropped_outdated" => dropped.outdated,
+            "closed_refused" => closed.refused.load(Ordering::Relaxed),
+            "closed_idle" => closed.idle.load(Ordering::Relaxed),
+            "closed_slow" => closed.slow.load(Ordering::Relaxed),
+            "closed_cut" => closed.cut.load(Ordering::Relaxed),
+            "closed_failed" => closed.failed.load(Ordering::Relaxed));
+    }
+}
+
+/// Connections that were closed for a fault, by reason.
+#[derive(Default)]
+struct ClosedConnections {
+    /// There were too many.
+    refused: AtomicU64,
+    idle: AtomicU64,
+    slow: AtomicU64,
+    cut: AtomicU64,
+    empty: AtomicU64,
+    too_long: AtomicU64,
+    failed: AtomicU64,
+}
+
+impl ClosedConnections {
+    fn count(&self, reason: &FrameError) {
+        let counter = match reason {
+            FrameError::Closed => return,
+            FrameError::Idle => &self.idle,
+            FrameError::Slow => &self.slow,
+            FrameError::Cut => &self.cut,
+            FrameError::Empty => &self.empty,
+            FrameError::TooLong(_) => &self.too_long,
+            FrameError::Io(_) => &self.failed,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// Why a connection ends.
+#[derive(Debug, thiserror::Error)]
+enum ConnectionError {
+    #[error(transparent)]
+    Frame(#[from] FrameError),
+    #[error(transparent)]
+    Message(#[from] MessageError),
+    #[error("the allocator ends")]
+    Ending,
+}
+
+/// Connections of limiters.
+struct Connections {
+    queue: Sender<Input>,
+    timeouts: Timeouts,
+    limit: usize,
+    open: AtomicUsize,
+    closed: ClosedConnections,
+    closed_log: Hush,
+    log: Logger,
+}
+
+impl Connections {
+    fn accept(self: Arc<Self>, listener: &TcpListener) {
+        loop {
+            match listener.accept() {
+                Ok((stream, from)) => self.clone().open(stream, from),
+                Err(fault) => {
+                    self.log_closed(None, &fault.to_string());
+                    std::thread::sleep(ACCEPT_PAUSE);
+                }
+            }
+        }
+    }
+
+    fn open(self: Arc<Self>, stream: TcpStream, from: SocketAddr) {
+        let open = OpenConnection::new(self.clone());
+        if self.open.load(Ordering::Relaxed) > self.limit {
+            self.closed.refused.fetch_add(1, Ordering::Relaxed);
+            return self.log_closed(Some(from), "too many connections");
+        }
+        let serve = move || {
+            let fault = self.serve(&stream);
+            drop(open);
+            if let ConnectionError::Frame(fault) = &fault {
+                self.closed.count(fault);
+            }
+            if !matches!(fault, ConnectionError::Frame(FrameError::Closed) | ConnectionError::Ending) {
+                self.log_closed(Some(from), &fault.to_string());
+            }
+        };
+        // Without a thread for it the connection is closed.
+        _ = spawn("limiter", serve);
+    }
+
+    /// Answers reports until something is wrong with the connection or what comes over it.
+    fn serve(&self, stream: &TcpStream) -> ConnectionError {
+        if let Err(fault) = stream.set_nodelay(true) {
+            return FrameError::Io(fault).into();
+        }
+        loop {
+            if let Err(fault) = self.exchange(stream) {
+                return fault;
+            }
+        }
+    }
+
+    fn exchange(&self, stream: &TcpStream) -> Result<(), ConnectionError> {
+        let bytes = frame::read(stream, self.timeouts)?;
+        let report = Report::read(&bytes).inspect_err(|reason| {
+            _ = self.queue.send(Input::Unreadable(reason.clone()));
+        })?;
+        let (answer, answered) = bounded(1);
+        let input = Input::Report { report: Box::new(report), answer };
+        self.queue.send(input).map_err(|_| ConnectionError::Ending)?;
+        match answered.recv().map_err(|_| ConnectionError::Ending)? {
+            Ok(grant) => Ok(frame::write(stream, &grant.encode_to_vec(), self.timeouts.frame)?),
+            // Sent before what was answered last: the limiter waits for no answer to it.
+            Err(MessageError::Outdated(_)) => Ok(()),
+            Err(reason) => Err(reason.into()),
+        }
+    }
+
+    fn log_closed(&self, from: Option<SocketAddr>, fault: &str) {
+        if let Some(more) = self.closed_log.due() {
+            warn!(self.log, "connection closed"; "from" => ?from, "fault" => fault, "unlogged" => more);
+        }
+    }
+}
+
+/// Counts a connection as long as it is open.
+struct OpenConnection(Arc<Connections>);
+
+impl OpenConnection {
+    fn new(connections: Arc<Connections>) -> Self {
+        connections.open.fetch_add(1, Ordering::Relaxed);
+        Self(connections)
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/tests/quota_lease_io.rs
@@ -0,0 +1,124 @@
+//! Quota leases at the edges: frames on a connection, and configuration.
+
+use mossrill::quota_lease::config::AllocatorConfig;
+use mossrill::quota_lease::frame::{self, FrameError, Timeouts};
+use mossrill::quota_lease::message::MAX_BYTES;
+use serde_json::{json, Value};
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+const ALLOCATOR: &str = include_str!("../deploy/allocator.json");
+const PATIENCE: Duration = Duration::from_secs(20);
+const PATIENT: Timeouts = Timeouts { idle: PATIENCE, frame: PATIENCE };
+
+fn pair() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let near = TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
+    (near, listener.accept().expect("a connection").0)
+}
+
+/// What is read of these bytes, after which the connection ends.
+fn read_of(bytes: &[u8]) -> Result<Vec<u8>, FrameError> {
+    let (mut near, far) = pair();
+    near.write_all(bytes).expect("written");
+    drop(near);
+    frame::read(&far, PATIENT)
+}
+
+#[test]
+fn frames_come_whole_and_in_order() {
+    let (near, far) = pair();
+    let messages = [vec![7], vec![1; 300], (0..MAX_BYTES).map(|at| at as u8).collect::<Vec<_>>()];
+    let sent = messages.clone();
+    let writer = thread::spawn(move || {
+        sent.iter().for_each(|message| frame::write(&near, message, PATIENCE).expect("written"));
+    });
+    for message in &messages {
+        assert!(frame::read(&far, PATIENT).expect("a frame") == *message);
+    }
+    writer.join().expect("an end");
+    assert!(matches!(frame::read(&far, PATIENT), Err(FrameError::Closed)));
+}
+
+#[test]
+fn spoilt_frames_are_told_apart() {
+    assert!(matches!(read_of(&[]), Err(FrameError::Closed)));
+    assert!(matches!(read_of(&[0, 0]), Err(FrameError::Cut)));
+    assert!(matches!(read_of(&[0, 0, 0, 3, 1, 2]), Err(FrameError::Cut)));
+    assert!(matches!(read_of(&[0; 4]), Err(FrameError::Empty)));
+    let too_long = MAX_BYTES as u32 + 1;
+    let read = read_of(&too_long.to_be_bytes());
+    assert!(matches!(read, Err(FrameError::TooLong(length)) if length == MAX_BYTES + 1), "{read:?}");
+    let (near, _far) = pair();
+    assert!(matches!(frame::write(&near, &[], PATIENCE), Err(FrameError::Empty)));
+    assert!(matches!(frame::write(&near, &vec![0; MAX_BYTES + 1], PATIENCE), Err(FrameError::TooLong(_))));
+}
+
+#[test]
+fn silent_and_slow_connections_are_given_up() {
+    let timeouts = Timeouts { idle: Duration::from_millis(20), frame: Duration::from_millis(20) };
+    let (mut near, far) = pair();
+    assert!(matches!(frame::read(&far, timeouts), Err(FrameError::Idle)));
+    near.write_all(&[0, 0, 0, 9, 1]).expect("written");
+    assert!(matches!(frame::read(&far, timeouts), Err(FrameError::Slow)));
+    // Bytes that trickle in don't prolong the time for a frame.
+    let (mut near, far) = pair();
+    let trickle = thread::spawn(move || {
+        while near.write_all(&[0, 0, 0, 255]).is_ok() {
+            thread::sleep(Duration::from_millis(5));
+        }
+    });
+    let timeouts = Timeouts { idle: PATIENCE, frame: Duration::from_millis(60) };
+    let read = (0..1_000).find_map(|_| frame::read(&far, timeouts).err());
+    assert!(matches!(read, Some(FrameError::Slow | FrameError::Empty | FrameError::TooLong(_))), "{read:?}");
+    drop(far);
+    trickle.join().expect("an end");
+    // One that reads nothing is not waited for longer than that.
+    let (near, _far) = pair();
+    let message = vec![1; MAX_BYTES];
+    let timeout = Duration::from_millis(50);
+    let written = (0..1_000).find_map(|_| frame::write(&near, &message, timeout).err());
+    assert!(matches!(written, Some(FrameError::Slow)), "{written:?}");
+}
+
+fn allocator_fault(change: impl Fn(&mut Value)) -> String {
+    let mut file: Value = serde_json::from_str(ALLOCATOR).expect("JSON");
+    change(&mut file);
+    match AllocatorConfig::from_text("allocator.json", &file.to_string()) {
+        Ok(_) => "taken".into(),
+        Err(fault) => fault.to_string(),
+    }
+}
+
+#[test]
+fn an_allocator_s_file_names_the_key_that_is_wrong() {
+    assert_eq!(allocator_fault(|_| ()), "taken");
+    let cases: [(&str, Value); 13] = [
+        ("number", json!(7)),
+        ("number", json!(-1)),
+        ("allocators", json!(0)),
+        ("allocators", json!(65)),
+        ("listen", json!("nowhere")),
+        ("limiters", json!(0)),
+        ("limiters", json!(1_000_000)),
+        ("lifetime_ms", json!(0)),
+        ("idle_ms", json!(0)),
+        ("frame_ms", json!(0)),
+        ("accounts", json!(0)),
+        ("connections", json!(0)),
+        ("fleet", json!(null)),
+    ];
+    for (key, value) in cases {
+        let fault = allocator_fault(|file| file[key] = value.clone());
+        let named = fault.starts_with("allocator.json: ") && fault.contains(&format!("key \"{key}\""));
+        assert!(named, "{key}: {fault}");
+    }
+    let unknown = allocator_fault(|file| file["lifetme_ms"] = json!(1));
+    assert!(unknown.contains("lifetme_ms"), "{unknown}");
+    let nested = allocator_fault(|file| file["fleet"]["perod_ms"] = json!(1));
+    assert!(nested.contains("fleet.perod_ms"), "{nested}");
+    assert!(AllocatorConfig::from_text("f", "{").is_err());
+    assert!(AllocatorConfig::from_file(std::path::Path::new("/nonexistent")).is_err());
+}
