Tests: idle clients and descriptors while discovery is down; ready by its own list

a_limiter_is_ready_by_its_own_list_...: discovery and counter silent, closing or refusing. Fails if the known list is not taken in at the start.

--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -245,11 +245,15 @@
 
     /// The same, with a folder that it has in common with others.
     pub fn start_in(name: &str, settings: &Value, folder: Option<&Path>) -> Self {
-        let mut program = Self::spawn(name, settings, folder);
-        let line = program.logged("listening");
-        program.at = line.rsplit("at: ").next().and_then(|at| at.trim().parse().ok()).expect("an address");
-        program.control = line.split("control: ").nth(1).and_then(|at| at.split(',').next()?.parse().ok());
-        program
+        Self::spawn(name, settings, folder).listening()
+    }
+
+    /// Waits until it listens, and where.
+    fn listening(mut self) -> Self {
+        let line = self.logged("listening");
+        self.at = line.rsplit("at: ").next().and_then(|at| at.trim().parse().ok()).expect("an address");
+        self.control = line.split("control: ").nth(1).and_then(|at| at.split(',').next()?.parse().ok());
+        self
     }
 
     /// One that can't start.
@@ -259,10 +263,21 @@
         assert!(!program.child.wait().expect("an end").success());
     }
 
+    /// One that the system gives no more descriptors than its configuration says.
+    pub fn start_bounded(name: &str, settings: &Value) -> Self {
+        let mut shell = Command::new("sh");
+        let most = settings["limits"]["sockets"].to_string();
+        shell.args(["-c", "ulimit -n \"$1\" && exec \"$0\"", env!("CARGO_BIN_EXE_mossrill"), &most]);
+        Self::spawn_by(shell, name, settings, None).listening()
+    }
+
     fn spawn(name: &str, settings: &Value, folder: Option<&Path>) -> Self {
+        Self::spawn_by(Command::new(env!("CARGO_BIN_EXE_mossrill")), name, settings, folder)
+    }
+
+    fn spawn_by(mut command: Command, name: &str, settings: &Value, folder: Option<&Path>) -> Self {
         let file = std::env::temp_dir().join(format!("mossrill-{name}-{}.json", std::process::id()));
         std::fs::write(&file, settings.to_string()).expect("a file");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_mossrill"));
         let command = command.env("EDGE_CONFIG", &file).env_remove("TMPDIR").stderr(Stdio::piped());
         let mut child = command.envs(folder.map(|at| ("TMPDIR", at))).spawn().expect("a start");
         let (line, log) = channel();
@@ -300,6 +315,11 @@
         (ticks(11) + ticks(12), memory.expect("a number"))
     }
 
+    /// How many descriptors it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("a process").count()
+    }
+
     /// How many threads it has.
     pub fn threads(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("a process").count()
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -4,9 +4,13 @@
 
 use mossrill::net::ticket_nodes::stands;
 use peers::*;
+use std::collections::VecDeque;
 use std::io::Write;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
 
 fn started(nodes: &[(&str, SocketAddr)]) -> Running {
     limiter(&settings(quiet_list(), quota_counter().0, nodes))
@@ -394,6 +398,112 @@
     drop(looks);
 }
 
+/// Idle clients that hold as many connections as they can, and open a new one for each that is older than all others.
+struct Idle {
+    stop: Arc<AtomicBool>,
+    opened: Arc<AtomicUsize>,
+    clients: Vec<thread::JoinHandle<()>>,
+}
+
+impl Idle {
+    fn at(at: SocketAddr) -> Self {
+        let (stop, opened) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+        // Nothing, half of a command, or no more than whether it is ready.
+        let words = [&b""[..], b"*5\r\n$9\r\nSVC.", b"*1\r\n$4\r\nPING\r\n"];
+        let client = |own: usize| {
+            let (stop, opened) = (stop.clone(), opened.clone());
+            thread::spawn(move || {
+                let mut held = VecDeque::new();
+                while !stop.load(Ordering::SeqCst) {
+                    let Ok(mut stream) = TcpStream::connect(at) else { continue };
+                    _ = stream.write_all(words[(own + opened.fetch_add(1, Ordering::SeqCst)) % 3]);
+                    held.push_back(stream);
+                    if held.len() > 60 {
+                        held.pop_front();
+                        thread::sleep(Duration::from_millis(5));
+                    }
+                }
+            })
+        };
+        let clients = (0..4).map(client).collect();
+        Self { stop, opened, clients }
+    }
+
+    /// Waits until they have taken all that they can.
+    fn goes_on(&self) {
+        let now = self.opened.load(Ordering::SeqCst);
+        until(|| self.opened.load(Ordering::SeqCst), |opened| *opened > now + 300);
+    }
+
+    fn end(self) {
+        self.stop.store(true, Ordering::SeqCst);
+        self.clients.into_iter().for_each(|client| client.join().expect("an end"));
+    }
+}
+
+#[test]
+fn idle_clients_that_take_all_they_can_keep_nobody_from_discovery_counter_and_operators() {
+    let (old, new) = (resp_peer(|_, _| serve("old")).0, resp_peer(|_, _| serve("new")).0);
+    let change = [entry("s-1", old, "terminating"), entry("s-2", new, "in_service")];
+    let news = serde_json::json!({"generation": 9, "reset": false, "instances": change}).to_string();
+    let back = Arc::new(AtomicBool::new(false));
+    let is_back = back.clone();
+    // Takes every call and says nothing while it is down.
+    let list = http_peer(move |_, _, _| match is_back.load(Ordering::SeqCst) {
+        false => Act::Hang,
+        true => {
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            Act::Say(format!("{head}{:x}\r\n{news}\r\n", news.len()))
+        }
+    });
+    let (counter, totals) = quota_counter();
+    let mut told = settings(list, counter, &[("s-1", old)]);
+    told["control"] = "127.0.0.1:0".into();
+    told["limits"]["sockets"] = 128.into();
+    told["settings"]["balancers"] = 2.into();
+    let program = Program::start_bounded("idle-clients", &told);
+    let idle = Idle::at(program.at);
+    idle.goes_on();
+    // A new connection may be closed unread then; whoever asks again gets in.
+    let ask = |id: &str| {
+        let text = asking("look", id, 1500).replace("spread=1", "spread=2");
+        Agent::try_at(program.at).and_then(|mut client| client.try_ask(&text))
+    };
+    for number in 0..10 {
+        assert!(program.call("show-stat").ends_with("END\n"));
+        // Of 128, the rest is for upstream servers, discovery, the counter and operators.
+        let held = program.descriptors();
+        assert!(held < 100, "{held} descriptors are held");
+        until(|| ask(&format!("down-{number}")), |answer| answer.as_deref() == Some("old"));
+    }
+    idle.goes_on();
+    assert!(!totals.lock().expect("whole").is_empty(), "the counter was not reached");
+    back.store(true, Ordering::SeqCst);
+    until(|| ask("back"), |answer| answer.as_deref() == Some("new"));
+    idle.end();
+    program.ends();
+}
+
+#[test]
+fn a_limiter_is_ready_by_its_own_list_before_discovery_or_the_counter_has_said_a_word() {
+    type Script = fn(&str) -> Act;
+    let silent: Script = |_| Act::Hang;
+    let closing: Script = |_| Act::Close;
+    let refusing: Script = |_| answer("503 Service Unavailable", "");
+    for (list, counter) in [(silent, closing), (closing, silent), (refusing, refusing)] {
+        let (node, _seen) = resp_peer(|_, words| serve(&words[2]));
+        let list = http_peer(move |first, _, _| list(first));
+        let counter = http_peer(move |first, _, _| counter(first));
+        let mut told = settings(list, counter, &[("s-1", node)]);
+        told["control"] = "127.0.0.1:0".into();
+        let program = Program::start("own-list", &told);
+        program.call_until("ready", "YES");
+        let mut client = Agent::ready_at(program.at);
+        client.ask("look", "first", 1500);
+        assert_eq!(client.answer(), "first");
+    }
+}
+
 #[test]
 fn agents_that_ask_once_and_hold_their_connections_leave_room_for_others() {
     let limiter = crowded();
