--- a/src/quota_lease/account.rs
+++ b/src/quota_lease/account.rs
@@ -131,10 +131,13 @@
     /// all of them have come.
     fn hold_off(&mut self, now: Micros, missing: MilliUnits, most: Micros) -> Micros {
         let rate = FillRate::whole(self.limits.rate);
-        let missing = missing - missing.min(self.bucket.available());
+        let never = self.limits.burst < missing.min(WHOLE_UNIT);
+        // What the bucket holds is for the first in the line.
+        let first = self.promised_until <= now;
+        let missing = if first { missing.saturating_sub(self.bucket.available()) } else { missing };
         let settled = rate.time_for(self.bucket.owed()).unwrap_or(most);
         let start = self.promised_until.max(now.saturating_add(settled));
-        let wait = rate.time_for(missing).unwrap_or(most);
+        let wait = rate.time_for(missing).filter(|_| !never).unwrap_or(most);
         let latest = now.saturating_add(most);
         self.promised_until = start.saturating_add(wait).min(latest);
         self.promised_until.saturating_sub(now)
--- a/src/quota_lease/allocator.rs
+++ b/src/quota_lease/allocator.rs
@@ -17,6 +17,8 @@
 /// Accounts looked at for forgetting with each report, besides one for each entry.
 const SWEPT_PER_REPORT: usize = 8;
 
+const NOT_OWNER: GrantEntry = GrantEntry { verdict: Verdict::NotOwner, units: 0, hold_off_ms: 0 };
+
 /// What an allocator is told at its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AllocatorSettings {
@@ -160,10 +162,13 @@
             lease_ms: u32::try_from(lease_ms).unwrap_or(u32::MAX),
             ..Grant::default()
         };
-        let own_grants = report.granted_by == self.incarnation;
         for entry in report.entries() {
-            let returned = if own_grants { entry.returned } else { 0 };
-            grant.push(&self.grant_entry(now, &ReportEntry { returned, ..entry }));
+            let given = match report.addressed_to {
+                0 => self.grant_entry(now, &ReportEntry { returned: 0, beyond: 0, ..entry }),
+                incarnation if incarnation == self.incarnation => self.grant_entry(now, &entry),
+                _ => NOT_OWNER,
+            };
+            grant.push(&given);
         }
         grant.leave_out_zeros();
         grant
@@ -171,7 +176,7 @@
 
     fn grant_entry(&mut self, now: Micros, entry: &ReportEntry) -> GrantEntry {
         let Some(owned_since) = self.ownership.owned_since(now, entry.account) else {
-            return GrantEntry { verdict: Verdict::NotOwner, units: 0, hold_off_ms: 0 };
+            return NOT_OWNER;
         };
         let rules = GrantRules {
             forecast_share: self.settings.forecast_share.into(),
--- a/src/quota_lease/exchange.rs
+++ b/src/quota_lease/exchange.rs
@@ -20,8 +20,6 @@
     Wait,
     /// The report that is out is sent again.
     Repeat,
-    /// It has not answered for too long.
-    Lose,
     /// A report with all that is due.
     Report,
     /// A report without entries: to hear whether it is back, or who is given away.
@@ -51,6 +49,11 @@
         self.out.as_ref().is_some_and(|out| out.report.sequence == sequence)
     }
 
+    /// Has it not answered for too long?
+    pub fn is_overdue(&self, now: Micros, settings: &HolderSettings) -> bool {
+        self.out.as_ref().is_some_and(|out| now >= out.first_sent.saturating_add(settings.lost_after))
+    }
+
     pub fn lose(&mut self, retry_at: Micros) {
         self.out = None;
         self.lost_until = Some(retry_at);
@@ -79,11 +82,8 @@
     /// What to do now. `ask_for_news`: other allocators are lost, so that somebody has to tell who is given away.
     pub fn step(&self, now: Micros, ask_for_news: bool, settings: &HolderSettings) -> Step {
         if let Some(out) = &self.out {
-            return match now {
-                _ if now >= out.first_sent.saturating_add(settings.lost_after) => Step::Lose,
-                _ if now >= out.last_sent.saturating_add(settings.repeat_after) => Step::Repeat,
-                _ => Step::Wait,
-            };
+            let repeat = now >= out.last_sent.saturating_add(settings.repeat_after);
+            return if repeat { Step::Repeat } else { Step::Wait };
         }
         if now < self.wake(ask_for_news, settings) {
             return Step::Wait;
@@ -116,15 +116,13 @@
         }
     }
 
-    /// A report without entries under the next number.
-    pub fn next_report(&self, settings: &HolderSettings) -> Report {
-        Report {
-            format: FORMAT,
-            limiter: settings.limiter,
-            incarnation: settings.incarnation,
-            sequence: self.sequence + 1,
-            ..Report::default()
-        }
+    /// Gives a report the sender and the next number.
+    pub fn address(&self, report: &mut Report, settings: &HolderSettings) {
+        report.format = FORMAT;
+        report.limiter = settings.limiter;
+        report.incarnation = settings.incarnation;
+        report.sequence = self.sequence + 1;
+        report.addressed_to = self.incarnation;
     }
 
     /// Notes that a report is sent for the first time.
--- a/src/quota_lease/held.rs
+++ b/src/quota_lease/held.rs
@@ -2,10 +2,10 @@
 
 use super::bucket::{Bucket, FillRate};
 use super::holder::HolderSettings;
-use super::message::{AccountKey, MilliUnits, PlanLimits, ReportEntry};
+use super::message::{AccountKey, MilliUnits, PlanLimits};
 use crate::interface::Micros;
 
-/// Leases of one account at most; those that are oldest are given up for a new one.
+/// Leases of one account at most.
 const MAX_LEASES: usize = 4;
 /// What an expired lease leaves is returned within this part of a lease's lifetime; later the allocator takes nothing back.
 const RETURN_WITHIN: Micros = 4;
@@ -13,7 +13,11 @@
 const RENEW_INTERVALS: u64 = 2;
 /// Expected use is multiplied by a power of two between these.
 const LEAST_BOOST: i8 = -4;
-const MOST_BOOST: i8 = 2;
+const MOST_BOOST: i8 = 1;
+/// In an account's first lifetime its use so far is projected to a whole one, at most by this factor.
+const MOST_PROJECTION: f32 = 4.0;
+/// Nothing is expected of an account that was not used for this part of a lease's lifetime.
+const IDLE_AFTER: Micros = 2;
 /// An account is looked at once in so many lifetimes at least.
 const LOOKED_AT_LEAST: u64 = 64;
 const THOUSAND: u128 = 1_000;
@@ -85,6 +89,7 @@
     boost: i8,
     /// Use within a lease's lifetime: each request counts less by the factor e after each lifetime.
     demand: f32,
+    first_use: Micros,
     last_use: Micros,
     /// Units of the last request.
     request: MilliUnits,
@@ -107,6 +112,7 @@
             due: Due::No,
             boost: 0,
             demand: 0.0,
+            first_use: now,
             last_use: now,
             request: 0,
             leases: Vec::new(),
@@ -126,9 +132,10 @@
         }
     }
 
-    /// Counts a request as demand, whatever becomes of it.
+    /// Counts a request as demand, unless the account is held off.
     pub fn count_demand(&mut self, now: Micros, units: MilliUnits, settings: &HolderSettings) {
-        self.demand = self.decayed_demand(now, settings) + units as f32;
+        let counted = if now < self.held_off_until { 0 } else { units };
+        self.demand = self.decayed_demand(now, settings) + counted as f32;
         self.last_use = now;
         self.request = units;
     }
@@ -162,8 +169,9 @@
             parts.push(ReceiptPart { origin: Some(lease.origin), units: taken });
             used_up_early |= lease.units == 0 && lease.origin.expires - now > settings.lease / 2;
         }
-        // The first units that one request waits for say nothing of later ones.
-        if used_up_early && self.leased(now) == 0 && self.demand > self.request as f32 * 2.0 {
+        // What is used up in the first lifetime is projected already.
+        let known = now >= self.first_use.saturating_add(settings.lease);
+        if used_up_early && known && self.leased(now) == 0 {
             self.boost = (self.boost + 1).min(MOST_BOOST);
         }
         self.use_part(now, units, settings);
@@ -202,13 +210,27 @@
         }
     }
 
-    /// Adds units that were granted.
+    /// Adds units that were granted. Where there are leases enough they join the last one of the same process, and expire and
+    /// are returned with it.
     pub fn add_lease(&mut self, origin: LeaseOrigin, units: MilliUnits) {
-        if self.leases.len() >= MAX_LEASES {
-            self.leases.sort_by_key(|lease| lease.origin.expires);
-            self.leases.remove(0);
+        let lease = Lease { origin, units, whole: units };
+        if self.leases.len() < MAX_LEASES {
+            self.leases.push(lease);
+            return;
+        }
+        self.leases.sort_by_key(|lease| lease.origin.expires);
+        let same = |other: &&mut Lease| {
+            let other = other.origin;
+            (other.allocator, other.incarnation) == (origin.allocator, origin.incarnation)
+                && other.expires <= origin.expires
+        };
+        match self.leases.iter_mut().rev().find(same) {
+            Some(last) => {
+                last.units = last.units.saturating_add(units);
+                last.whole = last.whole.saturating_add(units);
+            }
+            None => self.leases[0] = lease,
         }
-        self.leases.push(Lease { origin, units, whole: units });
     }
 
     /// Lets go of leases that are used up, and of those that expired too long ago to be returned.
@@ -239,8 +261,13 @@
     /// Units worth asking for beside those that requests wait for: what is likely to be used within a lifetime, in whole
     /// requests, less what is leased for long enough.
     pub fn expected(&self, now: Micros, waiting: MilliUnits, settings: &HolderSettings) -> MilliUnits {
+        let idle = now >= self.last_use.saturating_add(settings.lease / IDLE_AFTER);
+        if idle || now < self.held_off_until {
+            return 0;
+        }
         let used = f64::from(self.decayed_demand(now, settings)) - waiting as f64;
-        let likely = (used * f64::from(self.boost).exp2()).min(self.limits.burst as f64);
+        let likely = (used * f64::from(self.projection(now, settings)) * f64::from(self.boost).exp2())
+            .min(self.limits.burst as f64);
         let request = self.request.max(1);
         if likely < request as f64 {
             return 0;
@@ -290,19 +317,6 @@
         self.leases.capacity() * size_of::<Lease>()
     }
 
-    /// An entry that asks for `waiting` and expected units and reports what was used beyond.
-    pub fn entry(
-        &mut self,
-        now: Micros,
-        key: AccountKey,
-        waiting: MilliUnits,
-        settings: &HolderSettings,
-    ) -> ReportEntry {
-        let expected = self.expected(now, waiting, settings);
-        let beyond = std::mem::take(&mut self.beyond);
-        ReportEntry { waiting, expected, beyond, ..ReportEntry::new(key, self.limits) }
-    }
-
     fn live(&self, now: Micros) -> impl Iterator<Item = &Lease> {
         self.leases.iter().filter(move |lease| now < lease.origin.expires)
     }
@@ -312,6 +326,13 @@
         self.demand * (-elapsed / settings.lease.max(1) as f32).exp()
     }
 
+    /// One over the part of a lifetime's use, as [`Self::demand`] weighs it, that falls into the time since the first use.
+    fn projection(&self, now: Micros, settings: &HolderSettings) -> f32 {
+        let age = now.saturating_sub(self.first_use) as f32;
+        let part = 1.0 - (-age / settings.lease.max(1) as f32).exp();
+        part.max(1.0 / MOST_PROJECTION).recip()
+    }
+
     fn forget_at(&self, settings: &HolderSettings) -> Micros {
         let missing = self.part_burst(settings).saturating_sub(self.part.available());
         let part_full = match self.part_rate(settings).time_for(missing) {
--- a/src/quota_lease/holder.rs
+++ b/src/quota_lease/holder.rs
@@ -242,18 +242,21 @@
     pub fn on_grant(&mut self, now: Micros, grant: &Grant) -> Result<Vec<Answer>, MessageError> {
         let out = self.answered_report(grant).inspect_err(|reason| self.dropped.count(reason))?;
         let mut answers = Vec::new();
-        let number = grant.allocator;
-        self.hear(now, grant, &mut answers);
+        let addressed_to = out.report.addressed_to;
+        self.hear(now, grant, addressed_to, &mut answers);
         let lifetime = Micros::from(grant.lease_ms).saturating_mul(MICROS_PER_MILLI).min(self.settings.lease);
         let origin = LeaseOrigin {
-            allocator: number,
+            allocator: grant.allocator,
             incarnation: grant.incarnation,
             slot: grant.slot,
             expires: out.first_sent.saturating_add(lifetime),
         };
         for (asked, given) in out.report.entries().zip(grant.entries()) {
             match given.verdict {
-                Verdict::NotOwner => self.on_refusal(now, number, &asked, &mut answers),
+                Verdict::NotOwner if addressed_to == 0 || addressed_to == grant.incarnation => {
+                    self.on_refusal(now, grant.allocator, &asked, &mut answers);
+                }
+                Verdict::NotOwner => self.on_restart(now, grant.allocator, &asked, &mut answers),
                 _ => self.on_units(now, origin, &asked, given, &mut answers),
             }
         }
@@ -273,6 +276,11 @@
     pub fn poll(&mut self, now: Micros) -> Poll {
         let mut poll = Poll::default();
         self.run_timers(now);
+        for number in 0..self.settings.allocators {
+            if self.exchanges[number as usize].is_overdue(now, &self.settings) {
+                self.lose(now, number, &mut poll.answers);
+            }
+        }
         let ask_for_news = self.exchanges.iter().any(|exchange| !exchange.is_available());
         for number in 0..self.settings.allocators {
             let settings = self.settings;
@@ -280,11 +288,11 @@
             match exchange.step(now, ask_for_news, &settings) {
                 Step::Wait => {}
                 Step::Repeat => poll.reports.extend(exchange.repeat(now).map(|report| (number, report))),
-                Step::Lose => self.lose(now, number, &mut poll.answers),
                 Step::Ask => poll.reports.push((number, self.send(now, number, Report::default()))),
                 Step::Report => {
                     let report = self.report(now, number);
-                    if !report.accounts.is_empty() {
+                    let asks = self.exchanges[number as usize].wake(ask_for_news, &settings) <= now;
+                    if asks || !report.accounts.is_empty() {
                         poll.reports.push((number, self.send(now, number, report)));
                     }
                 }
@@ -473,13 +481,13 @@
     }
 
     /// Takes what the answer says of the allocators themselves.
-    fn hear(&mut self, now: Micros, grant: &Grant, answers: &mut Vec<Answer>) {
+    fn hear(&mut self, now: Micros, grant: &Grant, addressed_to: u64, answers: &mut Vec<Answer>) {
         let number = grant.allocator;
         if !grant.serving {
             self.lose(now, number, answers);
             return;
         }
-        let back = !self.is_available(number);
+        let back = !self.is_available(number) || addressed_to != grant.incarnation;
         self.exchanges[number as usize].recover();
         let moved = self.given_away != grant.given_away;
         self.given_away = grant.given_away;
@@ -529,7 +537,26 @@
             self.unreported.insert(key);
         }
         let moved = self.available_owner(key).is_some_and(|owner| owner != allocator);
-        let stays = |waiter: &Waiter| moved && waiter.reroutes < MAX_REROUTES;
+        self.ask_again(now, allocator, key, moved, answers);
+    }
+
+    /// The report was for an earlier process of the allocator, which may have carried it out: what it told of use beyond and
+    /// of units returned is not told again.
+    fn on_restart(&mut self, now: Micros, allocator: u32, asked: &ReportEntry, answers: &mut Vec<Answer>) {
+        let owned = self.available_owner(asked.account).is_some();
+        self.ask_again(now, allocator, asked.account, owned, answers);
+    }
+
+    /// Requests that an answer left waiting wait for the next report, if that is of use, or get the fallback part.
+    fn ask_again(
+        &mut self,
+        now: Micros,
+        allocator: u32,
+        key: AccountKey,
+        useful: bool,
+        answers: &mut Vec<Answer>,
+    ) {
+        let stays = |waiter: &Waiter| useful && waiter.reroutes < MAX_REROUTES;
         self.fall_back(now, key, |waiter| waiter.asked == Some(allocator) && !stays(waiter), answers);
         for waiter in self.waiters.get_mut(&key).into_iter().flatten() {
             if waiter.asked == Some(allocator) {
@@ -591,33 +618,9 @@
 
 /// Reports.
 impl Holder {
-    fn send(&mut self, now: Micros, allocator: u32, report: Report) -> Report {
+    fn send(&mut self, now: Micros, allocator: u32, mut report: Report) -> Report {
         let exchange = &mut self.exchanges[allocator as usize];
-        let header = exchange.next_report(&self.settings);
-        let Report {
-            granted_by,
-            plans,
-            accounts,
-            plan,
-            waiting,
-            expected,
-            returned,
-            returned_slot,
-            beyond,
-            ..
-        } = report;
-        let mut report = Report {
-            granted_by,
-            plans,
-            accounts,
-            plan,
-            waiting,
-            expected,
-            returned,
-            returned_slot,
-            beyond,
-            ..header
-        };
+        exchange.address(&mut report, &self.settings);
         report.leave_out_zeros();
         self.figures.reports += 1;
         self.figures.entries += report.accounts.len() as u64;
@@ -662,12 +665,13 @@
         }
         let mut returned = account.take_expired(now, allocator, incarnation);
         account.clean_up(now, &settings);
-        let mut entry = account.entry(now, key, waiting, &settings);
-        self.unreported.remove(&key);
-        self.figures.returned += returned.iter().map(|(units, _)| units).sum::<MilliUnits>();
-        if !returned.is_empty() {
-            report.granted_by = incarnation;
+        let expected = account.expected(now, waiting, &settings);
+        let mut entry = ReportEntry { waiting, expected, ..ReportEntry::new(key, account.limits) };
+        if incarnation != 0 {
+            entry.beyond = std::mem::take(&mut account.beyond);
+            self.unreported.remove(&key);
         }
+        self.figures.returned += returned.iter().map(|(units, _)| units).sum::<MilliUnits>();
         if let Some((units, slot)) = returned.pop() {
             (entry.returned, entry.returned_slot) = (units, slot);
         }
@@ -676,7 +680,8 @@
             let more = ReportEntry::new(key, account.limits);
             report.push(&ReportEntry { returned: units, returned_slot: slot, ..more });
         }
-        if entry != ReportEntry::new(key, account.limits) {
+        // One that can't tell of use beyond yet, as the allocator's process is not known, asks for nothing and hears of it.
+        if entry != ReportEntry::new(key, account.limits) || account.beyond > 0 {
             report.push(&entry);
         }
         // Those that did not fit wait for the next report.
@@ -689,7 +694,8 @@
 /// Accounts and their timers.
 impl Holder {
     fn set_timer(&mut self, now: Micros, key: AccountKey) {
-        let Some(account) = self.accounts.get_mut(&key) else { return };
+        // One that is due already is not put off.
+        let Some(account) = self.accounts.get_mut(&key).filter(|account| account.timer > now) else { return };
         let next = account.next_timer(now, &self.settings);
         if next != account.timer {
             self.timers.remove(&(account.timer, key));
--- a/src/quota_lease/message.rs
+++ b/src/quota_lease/message.rs
@@ -59,9 +59,10 @@
     /// Counts the limiter's reports to this allocator, from 1. A report that is sent again keeps its number.
     #[prost(uint64, tag = "4")]
     pub sequence: u64,
-    /// Incarnation of the allocator that granted what is returned here; 0 if nothing is returned.
+    /// Incarnation of the allocator as the limiter knows it. Another one carries nothing of the report out; 0 is for any, and
+    /// nothing is returned or told of use beyond then.
     #[prost(uint64, tag = "5")]
-    pub granted_by: u64,
+    pub addressed_to: u64,
     /// Limits of the plans that the entries refer to.
     #[prost(message, repeated, tag = "6")]
     pub plans: Vec<PlanLimits>,
