--- a/src/config.rs
+++ b/src/config.rs
@@ -5,6 +5,7 @@
 use crate::fleet::view::Setup;
 use crate::interface::*;
 use crate::openapi::description::Description;
+use crate::quota_lease::config::LimiterLeases;
 use crate::wire::{self, Names};
 use serde_json::Value;
 use std::collections::HashMap;
@@ -43,6 +44,8 @@
     pub common_folder: Option<PathBuf>,
     /// The limiter's place in its fleet, if limiters are to know each other.
     pub fleet: Option<Place>,
+    /// Where units are leased, if they are.
+    pub leases: Option<LimiterLeases>,
     /// Names of the classes, for operators.
     pub class_names: Vec<String>,
     /// For random numbers.
@@ -220,6 +223,7 @@
             control: root.control()?,
             common_folder: None,
             fleet: fleet(&root, (settings.me, settings.gateways), seed)?,
+            leases: None,
             class_names: names.classes().to_vec(),
             seed,
             descriptors: (sockets as usize).min(1_024),
@@ -265,6 +269,8 @@
     Redis(SocketAddr),
     /// The platform's quota counter.
     QuotaCounter(SocketAddr),
+    /// Allocators of quota leases.
+    Leases,
 }
 
 /// Reads the file of an OpenAPI front. `read` fetches the description, by a name relative to that file.
@@ -301,11 +307,13 @@
         Ok((member, key.address("address")?))
     })?;
     let store_key = Key::new(&value["store"], "store");
-    let store = match store_key.or("kind", "none", "none, redis or quota-counter", Value::as_str)? {
-        "none" => Store::None,
-        "redis" => Store::Redis(store_key.address("address")?),
-        "quota-counter" => Store::QuotaCounter(store_key.address("address")?),
-        _ => return Err(store_key.bad("kind", "none, redis or quota-counter")),
+    const KINDS: &str = "none, redis, quota-counter or leases";
+    let (store, leases) = match store_key.or("kind", "none", KINDS, Value::as_str)? {
+        "none" => (Store::None, None),
+        "redis" => (Store::Redis(store_key.address("address")?), None),
+        "quota-counter" => (Store::QuotaCounter(store_key.address("address")?), None),
+        "leases" => (Store::Leases, Some(LimiterLeases::from_store(&value["store"], me)?)),
+        _ => return Err(store_key.bad("kind", KINDS)),
     };
     let limits = Key::new(&value["limits"], "limits");
     let settings = Settings {
@@ -331,7 +339,8 @@
             fall: 3_000_000,
         },
         prices: Prices { waste: 0.05, count: 0.01, ..Prices::default() },
-        counter: !matches!(store, Store::None),
+        counter: matches!(store, Store::Redis(_) | Store::QuotaCounter(_)),
+        leased: leases.is_some(),
         counter_timeout: store_key.whole("timeout_ms", 50)?.max(1) * 1_000,
         weights: true,
         ..Settings::default()
@@ -349,6 +358,7 @@
             control: root.control()?,
             common_folder: None,
             fleet: fleet(&root, (settings.me, settings.gateways), seed)?,
+            leases,
             class_names: description.class_names.clone(),
             seed,
             descriptors: (limits.whole("sockets", 1_024)? as usize).min(1_024),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -195,6 +195,8 @@
     pub counter_timeout: Micros,
     /// Do server weights say something about size?
     pub weights: bool,
+    /// Are the units of each request leased before it is sent? The counter is not called then.
+    pub leased: bool,
 }
 
 /// State of a server as the list has it.
@@ -366,6 +368,13 @@
         /// How it ended.
         outcome: Outcome,
     },
+    /// The answer to [`Action::Lease`].
+    Leased {
+        /// The request.
+        id: RequestId,
+        /// Its units are leased. If not, there are none for it.
+        granted: bool,
+    },
 }
 
 /// What a gateway wants done.
@@ -431,4 +440,18 @@
     },
     /// Ask for news of the server list from here on.
     Watch,
+    /// Lease the units of a request. The answer is an [`Event::Leased`]; units of a request that ends without being sent
+    /// are given back by the host.
+    Lease {
+        /// The request.
+        id: RequestId,
+        /// Whose it is.
+        customer: CustomerId,
+        /// Index into [`Settings::plans`].
+        plan: usize,
+        /// Number of gateways that the customer's requests come through.
+        spread: u32,
+        /// Units that it takes from the quota.
+        units: f64,
+    },
 }
--- a/src/limiter/mod.rs
+++ b/src/limiter/mod.rs
@@ -5,6 +5,7 @@
 //! runs [`Core::run`] owns the module.
 
 mod bans;
+mod leases;
 mod timers;
 
 pub use timers::Clock;
@@ -13,9 +14,13 @@
 use crate::handover::message::{Ban, Body, Bye, Given};
 use crate::hush::Hush;
 use crate::interface::*;
+use crate::quota_lease::holder::Holder;
+use crate::quota_lease::link::LinkEvent;
+use crate::quota_lease::message::Report;
 use crate::Gateway;
 use bans::Bans;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use leases::{Leased, Leases};
 use slog::{info, warn, Logger};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -91,6 +96,8 @@
     fn listed(&mut self, known: usize, excluded: usize);
     /// Adds to a count; `call` comes back with the total.
     fn add(&mut self, call: u64, name: u64, by: f64, ttl: Duration);
+    /// Sends a report to an allocator of quota leases. Only a core with leases has any.
+    fn report(&mut self, _allocator: u32, _report: Report) {}
     /// An agent is connected, from which a request may be on its way here.
     fn agents(&self) -> bool;
 }
@@ -192,6 +199,8 @@
         /// The total, with [`Outcome::Ok`].
         total: f64,
     },
+    /// A connection to an allocator of quota leases has news.
+    Allocator(LinkEvent),
     /// What the fleet's view lets this limiter count on.
     Fleet(Standing),
     /// There is an order.
@@ -259,6 +268,8 @@
     out: HashMap<AttemptId, Out>,
     counts: HashMap<u64, u64>,
     count_calls: u64,
+    /// None where units are not leased.
+    leases: Option<Leases>,
     timers: Timers<Due>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
@@ -301,6 +312,7 @@
             out: HashMap::new(),
             counts: HashMap::new(),
             count_calls: 0,
+            leases: None,
             timers: Timers::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -312,11 +324,18 @@
         }
     }
 
+    /// Has the units of requests leased by this holder.
+    pub fn with_leases(mut self, holder: Holder) -> Self {
+        self.leases = Some(Leases::new(self.clock.now(), holder, &self.gateway.cfg.plans));
+        self
+    }
+
     /// Runs until it is stopped and everything open is answered.
     pub fn run(mut self, inputs: Receiver<Input<E>>, orders: Receiver<Order>) -> Bye {
         // What has come by the end is still taken.
         while self.goes_on() || !(self.stopped || inputs.is_empty()) {
-            let input = match self.timers.next() {
+            let leases_wake = self.leases.as_ref().and_then(Leases::next_wake);
+            let input = match self.timers.next().into_iter().chain(leases_wake).min() {
                 Some(at) => inputs.recv_deadline(self.clock.moment(at)),
                 None => inputs.recv().map_err(|_| RecvTimeoutError::Disconnected),
             };
@@ -332,10 +351,31 @@
             while let Some(due) = self.timers.due(now) {
                 self.fall_due(now, due);
             }
+            self.send_reports(now);
         }
         self.gateway.untold()
     }
 
+    /// Sends what the holder of leases reports now, and takes the answers that it does not wait for any longer.
+    fn send_reports(&mut self, now: Micros) {
+        let Some(leases) = &mut self.leases else { return };
+        if let Some((figures, dropped)) = leases.figures_due(now) {
+            info!(self.log, "leases"; "figures" => ?figures, "dropped" => ?dropped);
+        }
+        if !leases.is_due(now) {
+            return;
+        }
+        let (reports, answers) = leases.poll(now);
+        reports.into_iter().for_each(|(allocator, report)| self.edges.report(allocator, report));
+        self.leased(now, answers);
+    }
+
+    fn leased(&mut self, now: Micros, answers: Vec<Leased>) {
+        for Leased { id, granted } in answers {
+            self.tell(now, Event::Leased { id, granted });
+        }
+    }
+
     /// Up to the end of the last connection: a request may come on each that is there. A predecessor hands these over, and
     /// waits for its last calls of the counter too, as what these turn out not to have added goes along.
     fn goes_on(&self) -> bool {
@@ -362,7 +402,7 @@
             Input::Request(incoming) => self.admit(now, incoming),
             Input::Left(numbers) => {
                 for number in self.waiting_first(numbers) {
-                    if let Some(open) = self.close(number) {
+                    if let Some(open) = self.close(now, number) {
                         self.tell(now, Event::Gone { id: open.id });
                     }
                 }
@@ -382,6 +422,10 @@
                     self.tell(now, Event::Counted { name, total, outcome });
                 }
             }
+            Input::Allocator(event) => {
+                let answers = self.leases.as_mut().map(|leases| leases.hear(now, event)).unwrap_or_default();
+                self.leased(now, answers);
+            }
             Input::Fleet(standing) => self.tell(now, Event::Fleet(standing)),
             // Looked at already.
             Input::Ordered => {}
@@ -560,15 +604,18 @@
 
     /// Guards against a module that says nothing: the agent gets its answer at its deadline all the same.
     fn overdue(&mut self, now: Micros, number: u64) {
-        let Some(open) = self.close(number) else { return };
+        let Some(open) = self.close(now, number) else { return };
         warn!(self.log, "unanswered at its deadline"; "request" => &*open.id.0, "attempts" => open.attempts);
         self.answer(open.client, Answer::Failed { late: true });
         self.tell(now, Event::Gone { id: open.id });
     }
 
     /// Takes a request out of the open ones: its answer is due now, and what is not written for it yet never will be.
-    fn close(&mut self, number: u64) -> Option<Open<E>> {
+    fn close(&mut self, now: Micros, number: u64) -> Option<Open<E>> {
         let open = self.open.remove(&number)?;
+        if let Some(leases) = &mut self.leases {
+            leases.close(now, &open.id, open.attempts > 0);
+        }
         for attempt in 0..open.attempts {
             let attempt = AttemptId { request: number, attempt };
             if self.out.contains_key(&attempt) && self.edges.withdraw(attempt) {
@@ -637,10 +684,10 @@
         // the agent reads.
         let streams = self.streams(number).filter(|(which, _)| *which == attempt);
         if streams.is_some() {
-            self.close(number);
+            self.close(now, number);
         }
         if let (Outcome::Ok, Some(value)) = (outcome, value) {
-            if let Some(open) = self.close(number) {
+            if let Some(open) = self.close(now, number) {
                 self.answer(open.client, Answer::Served(value));
             }
         }
@@ -698,7 +745,7 @@
                 }
             }
             Action::Refuse { id, after } => {
-                let Some(open) = self.close(number(&id)) else { return };
+                let Some(open) = self.close(now, number(&id)) else { return };
                 let late = open.late || now + LAST_MOMENTS >= open.deadline;
                 // The rule on refusals binds whoever words them: what may have run is failed, not refused.
                 let answer = if open.safe || !open.may_have_run {
@@ -709,7 +756,7 @@
                 self.answer(open.client, answer);
             }
             Action::Fail { id } => {
-                let Some(open) = self.close(number(&id)) else { return };
+                let Some(open) = self.close(now, number(&id)) else { return };
                 let late = open.late || now + LAST_MOMENTS >= open.deadline;
                 self.answer(open.client, Answer::Failed { late });
             }
@@ -726,6 +773,13 @@
                 self.timers.set(now + self.counter_timeout, Due::Count(self.count_calls));
                 self.edges.add(self.count_calls, name, by, Duration::from_micros(ttl));
             }
+            Action::Lease { id, customer, plan, spread, units } => {
+                let open = self.open.contains_key(&number(&id));
+                let Some(leases) = self.leases.as_mut().filter(|_| open) else { return };
+                if let Some(Leased { id, granted }) = leases.take(now, id, &customer, (plan, spread), units) {
+                    self.events.push_back(Event::Leased { id, granted });
+                }
+            }
             // Limiters share nothing but the quota counter, and the node list is watched from the start.
             Action::Tell { .. } | Action::Watch => {}
         }
--- a/src/net/wiring.rs
+++ b/src/net/wiring.rs
@@ -14,6 +14,9 @@
 use crate::handover::{Beside, Limiting};
 use crate::interface::{Scope, ServerId};
 use crate::limiter::{Answer, AttemptId, Clock, Core, Edges, Input, Order, Wait};
+use crate::quota_lease::config::LimiterLeases;
+use crate::quota_lease::link::{AllocatorLinks, Told};
+use crate::quota_lease::message::Report;
 use crossbeam_channel::{bounded, unbounded, Receiver, Sender};
 use slog::{info, o, warn, Logger};
 use socket2::{Domain, Socket, Type};
@@ -39,6 +42,7 @@
 pub struct Wiring<S: Speech> {
     nodes: TicketNodes<S>,
     counter: Option<CountLines>,
+    allocators: Option<AllocatorLinks>,
     figures: Arc<Figures>,
     /// To the other process of an upgrade.
     news: Option<Sender<Body>>,
@@ -91,6 +95,12 @@
         }
     }
 
+    fn report(&mut self, allocator: u32, report: Report) {
+        if let Some(allocators) = &self.allocators {
+            allocators.send(allocator, report);
+        }
+    }
+
     fn agents(&self) -> bool {
         (self.agents)()
     }
@@ -210,11 +220,23 @@
             let front = front.clone();
             Box::new(move || !front.is_empty())
         };
-        let edges = Wiring { nodes: nodes.clone(), counter: counter.clone(), figures, news, agents };
+        let to = queue.clone();
+        let told: Told = Arc::new(move |event| _ = to.send(Input::Allocator(event)));
+        let links_log = log.new(o!("part" => "leases"));
+        let link = |leases: &LimiterLeases| {
+            AllocatorLinks::start(&leases.allocators, leases.timeouts, &told, &links_log)
+        };
+        let allocators = common.leases.as_ref().map(link).transpose()?;
+        let edges =
+            Wiring { nodes: nodes.clone(), counter: counter.clone(), allocators, figures, news, agents };
         let deadlines = common.settings.classes.iter().map(|class| class.deadline);
         let longest = Duration::from_micros(deadlines.max().unwrap_or(0));
         let core_log = log.new(o!("part" => "core"));
-        let core = Core::new(common.settings, common.seed, common.max_open, edges, clock, ready, core_log);
+        let mut core =
+            Core::new(common.settings, common.seed, common.max_open, edges, clock, ready, core_log);
+        if let Some(leases) = common.leases {
+            core = core.with_leases(leases.holder(clock.now()));
+        }
         Ok(Self {
             core,
             inputs,
--- a/src/openapi/mod.rs
+++ b/src/openapi/mod.rs
@@ -28,7 +28,7 @@
     let wait = Duration::from_micros(config.common.settings.counter_timeout);
     let counter_log = log.new(o!("part" => "counter"));
     let counter = |counted| match store {
-        Store::None => Ok(None),
+        Store::None | Store::Leases => Ok(None),
         Store::Redis(at) => CountLines::start(at, wait, RedisCounter, counted, &counter_log).map(Some),
         Store::QuotaCounter(at) => CountLines::start(at, wait, QuotaCounter, counted, &counter_log).map(Some),
     };
@@ -41,7 +41,7 @@
             (Store::Redis(_), Store::Redis(at), Some(lines)) => lines.move_to(at),
             (Store::QuotaCounter(_), Store::QuotaCounter(at), Some(lines)) => lines.move_to(at),
             (Store::None, Store::None, _) => {}
-            _ => warn!(log, "counter taken up at the next start alone"),
+            _ => warn!(log, "counter or allocators taken up at the next start alone"),
         }
         info!(log, "configuration read again"; "store" => ?config.store);
     };
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -174,6 +174,8 @@
             Event::Timer { .. } => self.tick(now, act),
             Event::Probed { .. } | Event::Peer { .. } => {}
             Event::Counted { name, total, outcome } => self.counted(now, name, total, outcome),
+            Event::Leased { id, granted: true } => _ = self.held.entry(id).and_modify(|h| h.leased = true),
+            Event::Leased { id, granted: false } => self.finish(&id, End::Turned, act),
         }
         self.dispatch(now, act);
     }
@@ -229,11 +231,14 @@
         let id = request.id.clone();
         self.queue.insert((tag, id.clone()));
         let charge = if self.cfg.plans[request.plan].rate > 0.0 { request.units } else { 1.0 };
-        let held = Held { request, worth, charge, aim_at, deadline, tag, attempts: vec![], streaming: false };
         customer.waiting.push(id.clone());
-        let name = held.request.customer.clone();
-        self.held.insert(id, held);
-        self.cut_backlog(now, &name, act);
+        let (name, plan, units) = (request.customer.clone(), request.plan, request.units);
+        self.held.insert(id.clone(), Held::new(request, (worth, charge), (aim_at, deadline), tag));
+        // The holder of leases says at once what there are no units for.
+        match self.cfg.leased {
+            true => act.push(Action::Lease { id, customer: name, plan, spread, units }),
+            false => self.cut_backlog(now, &name, act),
+        }
     }
 
     /// What a customer's quota can't reach in half of the time that the aim leaves is refused at once, least
@@ -300,12 +305,13 @@
         // Places are claimed on the counter; while it can't be asked, each gateway keeps to its part of them.
         let shared = usable && customer.spread > 1 && now >= self.call_after && self.price < self.mean_worth;
         let places = plan.places() && shared && !std::mem::take(&mut customer.blind);
-        if !places
-            && plan.open > 0
-            && customer.open >= ((f64::from(plan.open) / customer.parts) as u32).max(1)
-        {
+        let own_places = ((f64::from(plan.open) / customer.parts) as u32).max(1);
+        if !places && plan.open > 0 && customer.open >= own_places {
             return Verdict::Wait;
         }
+        if self.cfg.leased {
+            return if held.leased { Verdict::Send } else { Verdict::Wait };
+        }
         let age = now.saturating_sub(customer.checked) as f64;
         customer.fill(now, plan, usable);
         // They turn over once a mean response.
@@ -350,10 +356,9 @@
         let Some(customer) = self.customers.get_mut(&request.customer) else { return Verdict::Wait };
         match customer.call {
             _ if customer.granted >= charge => return Verdict::Send,
-            None if plan.places() => {}
-            None if customer.answered.is_some() && customer.level < charge => return Verdict::Turn,
-            None => {}
             Some(_) => return Verdict::Wait,
+            None if plan.places() || customer.answered.is_none() || customer.level >= charge => {}
+            None => return Verdict::Turn,
         }
         let odds = self.odds[request.plan][customer.fared as usize];
         let beyond = plan.over_worth - plan.over_cost;
@@ -481,9 +486,8 @@
             self.release(id, number, &attempt.server, &held.request.customer);
         }
         let safe = self.cfg.classes[held.request.class].effect == Effect::Safe;
-        let (refused, id) = (safe || !held.may_have_run(), id.clone());
+        let (refused, id, after) = (safe || !held.may_have_run(), id.clone(), self.come_back());
         if end == End::Turned {
-            let after = self.come_back();
             act.push(if refused { Action::Refuse { id, after } } else { Action::Fail { id } });
         }
     }
@@ -600,14 +604,11 @@
             Outcome::Cancelled | Outcome::Timeout => {
                 // No answer for so long: the pace is at least that; quick answers never come from a failure.
                 server.ratio += GAIN * (sample - server.ratio).max(0.0);
-                if outcome == Outcome::Timeout {
-                    // Left out, the slow half of a jam would not be seen and all be sent too late.
-                    pace.mean += CLASS_GAIN * (took - pace.mean).max(0.0);
-                    // A single one may be a tail.
-                    TIMEOUT_FAILS
-                } else {
-                    0.0
-                }
+                let timed_out = f64::from(u8::from(outcome == Outcome::Timeout));
+                // Left out, the slow half of a jam would not be seen and all be sent too late.
+                pace.mean += timed_out * CLASS_GAIN * (took - pace.mean).max(0.0);
+                // A single one may be a tail.
+                timed_out * TIMEOUT_FAILS
             }
             Outcome::Moot => return,
             _ => 1.0,
@@ -890,7 +891,7 @@
         let room = self.depth * self.shortest_aim() * STRAIN / 2.0 / self.mean_pace().max(1.0);
         let allowed = |h: &Held| {
             let store = self.customers.get(&h.request.customer).map_or(0.0, |c| c.level);
-            self.cfg.plans[h.request.plan].rate <= 0.0 || store >= h.request.units
+            h.leased || self.cfg.plans[h.request.plan].rate <= 0.0 || store >= h.request.units
         };
         let of = |id| self.held.get(id).filter(|h| allowed(h));
         let held = self.queue.iter().filter_map(|(tag, id)| Some((of(id)?, tag, id)));
--- a/src/quota_lease/config.rs
+++ b/src/quota_lease/config.rs
@@ -286,8 +286,8 @@
         })?;
         let allocators = keys.addresses()?;
         let lifetime = within("store.lifetime_ms", keys.lifetime_ms, LIFETIME_MS)?;
-        // A lease that is used up early is renewed before it expires.
-        let interval = within("store.interval_ms", keys.interval_ms, 10..=keys.lifetime_ms / 2)?;
+        // Leases are renewed before they expire, and what they leave is returned soon after.
+        let interval = within("store.interval_ms", keys.interval_ms, 10..=keys.lifetime_ms / 4)?;
         let answer = within("store.answer_ms", keys.answer_ms, TIMEOUT_MS)?;
         if !(0.0..=1.0).contains(&keys.fallback) {
             return Err(format!("key \"store.fallback\" is {}, wanted a number from 0 to 1", keys.fallback));
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,6 +25,8 @@
     pub(crate) attempts: Vec<Attempt>,
     /// Its answer has started to stream.
     pub(crate) streaming: bool,
+    /// Its units are leased.
+    pub(crate) leased: bool,
 }
 
 /// A call of the counter that is out: window, amount, the part of it that is claimed for waiting requests.
@@ -148,6 +150,17 @@
 }
 
 impl Held {
+    /// A request with its worth and charge, its aim and deadline, and its tag.
+    pub(crate) fn new(
+        request: Request,
+        (worth, charge): (f64, f64),
+        (aim_at, deadline): (Micros, Micros),
+        tag: (u64, u64),
+    ) -> Self {
+        let attempts = Vec::new();
+        Self { request, worth, charge, aim_at, deadline, tag, attempts, streaming: false, leased: false }
+    }
+
     pub(crate) fn is_out(&self) -> bool {
         self.attempts.iter().any(|a| a.outcome.is_none())
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -369,6 +369,7 @@
         counter: kind.flag("mayCount")?,
         counter_timeout: kind.int("counterTimeout")?,
         weights: !matches!(facts.text("weightSource")?, "" | "silent"),
+        leased: false,
     })
 }
 
@@ -386,6 +387,7 @@
         Action::Tell { to, body } => json!(["signal", instance, to, STANDARD.encode(body)]),
         Action::Count { name, by, ttl } => json!(["addAndGet", instance, name, by, ttl]),
         Action::Watch => json!(["tail", instance, true]),
+        Action::Lease { .. } => return write_fault(instance, "the platform has no leases"),
     }
     .to_string()
 }
--- a/tests/quota_lease_io.rs
+++ b/tests/quota_lease_io.rs
@@ -1,5 +1,10 @@
-//! Quota leases at the edges: frames on a connection, and configuration.
+//! Quota leases at the edges: frames on a connection, configuration, and what the decision module asks for.
 
+mod common;
+
+use common::*;
+use mossrill::config;
+use mossrill::interface::*;
 use mossrill::quota_lease::config::AllocatorConfig;
 use mossrill::quota_lease::frame::{self, FrameError, Timeouts};
 use mossrill::quota_lease::message::MAX_BYTES;
@@ -9,6 +14,8 @@
 use std::thread;
 use std::time::Duration;
 
+const DESCRIPTION: &str = include_str!("../deploy/ferry.openapi.json");
+const LIMITER: &str = include_str!("../deploy/leases.json");
 const ALLOCATOR: &str = include_str!("../deploy/allocator.json");
 const PATIENCE: Duration = Duration::from_secs(20);
 const PATIENT: Timeouts = Timeouts { idle: PATIENCE, frame: PATIENCE };
@@ -83,6 +90,55 @@
     assert!(matches!(written, Some(FrameError::Slow)), "{written:?}");
 }
 
+/// What is done to a good file.
+type Change<'a> = &'a dyn Fn(&mut Value);
+
+fn limiter_fault(change: impl Fn(&mut Value)) -> String {
+    let mut file: Value = serde_json::from_str(LIMITER).expect("JSON");
+    change(&mut file["store"]);
+    match config::openapi(&file.to_string(), |_| Ok(DESCRIPTION.to_owned())) {
+        Ok(_) => "taken".into(),
+        Err(fault) => fault,
+    }
+}
+
+#[test]
+fn a_limiter_s_file_names_the_key_that_is_wrong() {
+    assert_eq!(limiter_fault(|_| ()), "taken");
+    let cases: [(&str, Change<'_>); 15] = [
+        ("store.lifetime", &|store| store["lifetime"] = json!(1)),
+        ("store.lifetime_ms", &|store| store["lifetime_ms"] = json!(0)),
+        ("store.lifetime_ms", &|store| store["lifetime_ms"] = json!(-5)),
+        ("store.lifetime_ms", &|store| store["lifetime_ms"] = json!(u64::MAX)),
+        ("store.interval_ms", &|store| store["interval_ms"] = json!(9_999)),
+        ("store.interval_ms", &|store| store["interval_ms"] = json!("1 s")),
+        ("store.answer_ms", &|store| store["answer_ms"] = json!(0)),
+        ("store.connect_ms", &|store| store["connect_ms"] = json!(0)),
+        ("store.fallback", &|store| store["fallback"] = json!(-0.1)),
+        ("store.fallback", &|store| store["fallback"] = json!(1.5)),
+        ("store.allocators", &|store| store["allocators"] = json!([])),
+        ("store.allocators[1].number", &|store| store["allocators"][1]["number"] = json!(0)),
+        ("store.allocators[1].number", &|store| store["allocators"][1]["number"] = json!(7)),
+        ("store.allocators[2].address", &|store| {
+            store["allocators"][2]["address"] = store["allocators"][0]["address"].clone();
+        }),
+        ("store.allocators[3].address", &|store| store["allocators"][3]["address"] = json!("nowhere")),
+    ];
+    for (key, change) in cases {
+        let fault = limiter_fault(change);
+        assert!(fault.contains(&format!("key \"{key}")), "{key}: {fault}");
+    }
+    let unknown = limiter_fault(|store| store["allocators"][0]["weight"] = json!(1));
+    assert!(unknown.contains("store.allocators[0]") && unknown.contains("weight"), "{unknown}");
+    let missing = limiter_fault(|store| _ = store.as_object_mut().map(|keys| keys.remove("allocators")));
+    assert!(missing.contains("store") && missing.contains("allocators"), "{missing}");
+    let crowd = |store: &mut Value| {
+        let entry = |n: u32| json!({"number": n, "address": format!("127.0.0.1:{}", 7_301 + n)});
+        store["allocators"] = (0..65).map(entry).collect();
+    };
+    assert!(limiter_fault(crowd).contains("store.allocators"));
+}
+
 fn allocator_fault(change: impl Fn(&mut Value)) -> String {
     let mut file: Value = serde_json::from_str(ALLOCATOR).expect("JSON");
     change(&mut file);
@@ -122,3 +178,66 @@
     assert!(AllocatorConfig::from_text("f", "{").is_err());
     assert!(AllocatorConfig::from_file(std::path::Path::new("/nonexistent")).is_err());
 }
+
+fn leased(open: u32) -> Bench {
+    let mut settings = Settings { leased: true, counter: false, ..settings() };
+    settings.plans[0].open = open;
+    Bench::new(settings, 2)
+}
+
+fn leases(actions: &[Action]) -> Vec<(RequestId, f64)> {
+    let pick = |action: &Action| match action {
+        Action::Lease { id, units, .. } => Some((id.clone(), *units)),
+        _ => None,
+    };
+    actions.iter().filter_map(pick).collect()
+}
+
+#[test]
+fn a_request_is_sent_once_its_units_are_leased() {
+    let mut bench = leased(0);
+    let asked = bench.ask("a", 0, 0, "c");
+    assert_eq!(leases(&asked), [("a".into(), 1.0)]);
+    assert!(sends(&asked).is_empty() && refused(&asked) == 0);
+    // However long that takes, it is neither sent nor asked for again before.
+    let waits = bench.pass(100_000);
+    assert!(sends(&waits).is_empty() && leases(&waits).is_empty() && counts(&waits) == 0);
+    let sent = bench.on(Event::Leased { id: "a".into(), granted: true });
+    assert_eq!(sends(&sent).len(), 1);
+    assert_eq!(counts(&sent), 0);
+}
+
+#[test]
+fn a_request_without_units_is_refused_at_once() {
+    let mut bench = leased(0);
+    bench.ask("a", 0, 0, "c");
+    bench.ask("b", 0, 0, "c");
+    let answered = bench.on(Event::Leased { id: "a".into(), granted: false });
+    assert_eq!((refused(&answered), sends(&answered).len()), (1, 0));
+    let answered = bench.on(Event::Leased { id: "b".into(), granted: true });
+    assert_eq!((refused(&answered), sends(&answered).len()), (0, 1));
+    // Units for a request that has ended meanwhile change nothing.
+    assert!(bench.on(Event::Leased { id: "a".into(), granted: true }).is_empty());
+}
+
+#[test]
+fn a_cap_on_open_attempts_holds_beside_leases() {
+    let mut bench = leased(2);
+    for id in ["a", "b", "c"] {
+        bench.ask(id, 0, 0, "c");
+    }
+    // Through two gateways, so one of the two places is this one's.
+    let sent: usize = ["a", "b", "c"]
+        .map(|id| sends(&bench.on(Event::Leased { id: id.into(), granted: true })).len())
+        .iter()
+        .sum();
+    assert_eq!(sent, 1);
+}
+
+#[test]
+fn a_whole_burst_is_asked_for_whatever_this_gateway_used_before() {
+    // Where the counter is called, more than a fair part is cut off before it is asked for.
+    let mut bench = leased(0);
+    let asked: usize = (0..40).map(|n| leases(&bench.ask(&format!("r{n}"), 0, 0, "c")).len()).sum();
+    assert_eq!(asked, 40);
+}
