--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -245,11 +245,20 @@
 
     /// The same, with a folder that it has in common with others.
     pub fn start_in(name: &str, settings: &Value, folder: Option<&Path>) -> Self {
-        let mut program = Self::spawn(name, settings, folder);
-        let line = program.logged("listening");
-        program.at = line.rsplit("at: ").next().and_then(|at| at.trim().parse().ok()).expect("an address");
-        program.control = line.split("control: ").nth(1).and_then(|at| at.split(',').next()?.parse().ok());
-        program
+        Self::spawn(name, settings, folder).listening()
+    }
+
+    /// A program of this project that is given its file as `command` says.
+    pub fn start_with(name: &str, file: &Value, command: impl FnOnce(&Path) -> Command) -> Self {
+        Self::spawn_with(name, file, command).listening()
+    }
+
+    fn listening(mut self) -> Self {
+        let line = self.logged("listening");
+        let address = line.split("at: ").nth(1).and_then(|at| at.split(',').next()?.trim().parse().ok());
+        self.at = address.expect("an address");
+        self.control = line.split("control: ").nth(1).and_then(|at| at.split(',').next()?.parse().ok());
+        self
     }
 
     /// One that can't start.
@@ -260,11 +269,17 @@
     }
 
     fn spawn(name: &str, settings: &Value, folder: Option<&Path>) -> Self {
+        Self::spawn_with(name, settings, |file| {
+            let mut command = Command::new(env!("CARGO_BIN_EXE_mossrill"));
+            command.env("EDGE_CONFIG", file).env_remove("TMPDIR").envs(folder.map(|at| ("TMPDIR", at)));
+            command
+        })
+    }
+
+    fn spawn_with(name: &str, settings: &Value, command: impl FnOnce(&Path) -> Command) -> Self {
         let file = std::env::temp_dir().join(format!("mossrill-{name}-{}.json", std::process::id()));
         std::fs::write(&file, settings.to_string()).expect("a file");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_mossrill"));
-        let command = command.env("EDGE_CONFIG", &file).env_remove("TMPDIR").stderr(Stdio::piped());
-        let mut child = command.envs(folder.map(|at| ("TMPDIR", at))).spawn().expect("a start");
+        let mut child = command(&file).stderr(Stdio::piped()).spawn().expect("a start");
         let (line, log) = channel();
         let lines = BufReader::new(child.stderr.take().expect("a log")).lines();
         thread::spawn(move || lines.map_while(Result::ok).all(|text| line.send(text + "\n").is_ok()));
