--- a/src/limiter/messages.rs
+++ b/src/limiter/messages.rs
@@ -3,6 +3,8 @@
 use crate::fleet::parts::Standing;
 use crate::handover::message::Body;
 use crate::interface::*;
+use crate::quota_lease::link::LinkEvent;
+use crate::quota_lease::message::Report;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -77,6 +79,8 @@
     fn listed(&mut self, known: usize, excluded: usize);
     /// Adds to a count; `call` comes back with the total.
     fn add(&mut self, call: u64, name: u64, by: f64, ttl: Duration);
+    /// Sends a report to an allocator of quota leases. Only a core with leases has any.
+    fn report(&mut self, _allocator: u32, _report: Report) {}
     /// An agent is connected, from which a request may be on its way here.
     fn agents(&self) -> bool;
 }
@@ -156,6 +160,8 @@
         /// The total, with [`Outcome::Ok`].
         total: f64,
     },
+    /// A connection to an allocator of quota leases has news.
+    Allocator(LinkEvent),
     /// What the fleet's view lets this limiter count on.
     Fleet(Standing),
     /// There is a [`Command`](super::Command).
