Fleets of up to 4,096 limiters: released leases are told in parts, each with its own age

Cause: MOST_LIMITERS was 1,000, as each datagram of 256 bytes carried a bit for every limiter whose lease its sender has released; 2,000 bits take 250 bytes.

Change: src/fleet/released.rs encodes the set in parts. Fleets up to 1,000 keep format 1 and its bytes. Larger ones speak format 2, which names the number of configured limiters and carries the whole set if its runs take at most 96 bytes, else one window of 768 limiters a datagram, each in turn; gossip carries none, and an answer is followed by up to two further datagrams with the next parts. Without these a majority of 13 of 20 limiters did not share out all that 7 had left, as each part was told too seldom within a lease (seen in the new test). Leases of a peer are kept by window, each with the age of the datagram that carried it. A member takes its own format and, in format 2, its own number of limiters; another format, size or a part outside of the fleet is dropped and counted. A version before this drops format 2.

The test by property of all parts is played with small windows too (24 cases of 9 to 17 limiters), beside the 200 as before.

--- a/benches/fleet/main.rs
+++ b/benches/fleet/main.rs
@@ -35,7 +35,10 @@
     /// Seconds in which false deaths are looked for, at a fleet of 30; a larger one gets as many member-seconds.
     #[arg(long, default_value_t = 3600)]
     quiet: u64,
-    /// The least of these seconds in a play.
+    /// Seconds from the start of all to the first loss; if none are given 20, and a tenth for each limiter.
+    #[arg(long)]
+    start: Option<u64>,
+    /// The least of the quiet seconds in a play.
     #[arg(long, default_value_t = 60)]
     least_quiet: u64,
     /// Lines of JSON alone.
@@ -77,6 +80,8 @@
     spent_heal: Vec<f64>,
     /// Seconds from the start of all at once until each knows all.
     start: Vec<f64>,
+    /// Plays in which this, the death or the heal was not known to all within the time given for it.
+    unsettled: [u32; 3],
 }
 
 impl Seen {
@@ -95,7 +100,8 @@
             ("standing_us", self.standing),
         ];
         let mut line = json!({"way": way, "size": size, "loss": loss, "seeds": words.seeds});
-        let mut row = format!("{way:<10} {size:>5} {loss:>5.2}");
+        line["unsettled_start_death_heal"] = json!(self.unsettled);
+        let mut row = format!("{way:<10} {size:>5} {loss:>5.2}  unsettled {:?}", self.unsettled);
         for (name, seen) in columns.into_iter().filter(|(_, seen)| !seen.is_empty()) {
             let (median, worst) = spread(seen);
             line[name] = json!([median, worst]);
@@ -124,6 +130,12 @@
     all.as_secs_f64() * 1e6 / members as f64 / (span as f64 / 1e6)
 }
 
+/// Notes the seconds that something took; 1 if it did not come to its end.
+fn reached(took: Option<u64>, seen: &mut Vec<f64>) -> u32 {
+    seen.extend(took.map(|took| took as f64 / 1e6));
+    u32::from(took.is_none())
+}
+
 fn each(work: Work) -> f64 {
     work.spent.as_secs_f64() * 1e6 / work.events as f64
 }
@@ -134,9 +146,10 @@
         let mut net = Net::new(size, 1_000 + seed);
         net.tell_every = (size as usize).div_ceil(MEASURED);
         net.start_all();
-        let (began, first) = (net.now, 20 * SECOND + u64::from(size) * SECOND / 10);
+        let first = words.start.map_or(20 * SECOND + u64::from(size) * SECOND / 10, |start| start * SECOND);
+        let began = net.now;
         let joined = |net: &Net| net.up().all(|(_, p)| p.view.living().iter().all(|lives| *lives));
-        all.start.extend(net.until(first, joined).map(|took| took as f64 / 1e6));
+        all.unsettled[0] += reached(net.until(first, joined), &mut all.start);
         net.run((began + first).saturating_sub(net.now));
         net.loss = loss;
         net.run(10 * SECOND);
@@ -163,9 +176,7 @@
         net.changes.clear();
         let knows = |net: &Net| net.up().all(|(_, p)| p.view.state(0) >= State::Dead);
         net.kill(0);
-        if let Some(took) = net.until(60 * SECOND, knows) {
-            all.death.push(took as f64 / 1e6);
-        }
+        all.unsettled[1] += reached(net.until(60 * SECOND, knows), &mut all.death);
         (net.meter, net.changes) = (meter(size), Vec::new());
         let split = net.now;
         net.side = (0..size).map(|who| u8::from(who >= size / 2)).collect();
@@ -173,9 +184,7 @@
         net.side = vec![0; size as usize];
         // With datagrams lost somebody is under suspicion at nearly any moment: nobody may be taken for dead.
         let healed = |net: &Net| net.up().all(|(_, p)| p.view.living()[1..].iter().all(|lives| *lives));
-        if let Some(took) = net.until(300 * SECOND, healed) {
-            all.heal.push(took as f64 / 1e6);
-        }
+        all.unsettled[2] += reached(net.until(300 * SECOND, healed), &mut all.heal);
         all.spent_heal.push(spent(&net.meter, size, net.now - split));
     }
     all
--- a/src/config.rs
+++ b/src/config.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::datagram::{version, Key as FleetKey, MOST_LIMITERS};
 use crate::fleet::link::Place;
+use crate::fleet::released::Encoding;
 use crate::fleet::view::Setup;
 use crate::interface::*;
 use crate::openapi::description::Description;
@@ -438,6 +439,7 @@
         setup: Setup {
             me: settings.me,
             size: settings.gateways,
+            encoding: Encoding::of(settings.gateways),
             fleet: key.must("name", "text of 1 to 16 bytes", name)?,
             address: own,
             version: version(env!("CARGO_PKG_VERSION")),
--- a/src/fleet/datagram.rs
+++ b/src/fleet/datagram.rs
@@ -3,17 +3,22 @@
 //! A datagram is a tag of 16 bytes, a keyed BLAKE3 hash of what follows, and one protocol buffer. What does not open
 //! with the own key was written by nobody of this fleet, and is told from what is merely not for this format or fleet.
 
+use super::released::ReleasedPart;
 use prost::{Message, Oneof};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// The longest datagram in bytes: what the platform carries between limiters.
 pub const LONGEST: usize = 256;
-/// The format of this page; another one is not understood.
+/// The format of fleets that carry the whole set of released leases in every datagram, as all did in the versions
+/// before [`PARTS_FORMAT`].
 pub const FORMAT: u32 = 1;
+/// The format of fleets that carry the set in parts, and the number of configured limiters. No member of a fleet
+/// takes the other format: what it says of leases would be misread.
+pub const PARTS_FORMAT: u32 = 2;
 /// Bytes of the tag.
-const TAG: usize = 16;
-/// The most limiters of a fleet: so many bits fit beside everything else.
-pub const MOST_LIMITERS: u32 = 1_000;
+pub const TAG: usize = 16;
+/// The most limiters of a fleet: six windows of the set of released leases.
+pub const MOST_LIMITERS: u32 = 4_096;
 /// Milliseconds of Unix time stay far below; what is above was not made by a limiter.
 const MOST_INCARNATION: u64 = 1 << 53;
 
@@ -63,9 +68,15 @@
     /// What the sender knows of others.
     #[prost(message, repeated, tag = "13")]
     pub news: Vec<News>,
-    /// A bit for each limiter whose lease the sender has not renewed for longer than a lease lasts.
+    /// A bit for each limiter whose lease the sender has not renewed for longer than a lease lasts. [`FORMAT`] alone.
     #[prost(bytes = "vec", tag = "14")]
     pub released: Vec<u8>,
+    /// A part of that set; without it nothing is said of the set. [`PARTS_FORMAT`] alone.
+    #[prost(message, optional, tag = "15")]
+    pub released_part: Option<ReleasedPart>,
+    /// Limiters that the sender's configuration has. [`PARTS_FORMAT`] alone.
+    #[prost(uint32, tag = "16")]
+    pub limiters: u32,
 }
 
 /// What a datagram is about.
@@ -172,7 +183,7 @@
     Garbled,
     /// Of another format.
     Format,
-    /// Of another fleet under the same key.
+    /// Of another fleet under the same key, or of another size of this one.
     Fleet,
     /// Names a limiter, state, incarnation or address that can't be.
     Strange,
@@ -247,7 +258,7 @@
         }
         let datagram = Datagram::decode(body).map_err(|_| Fault::Garbled)?;
         match () {
-            () if datagram.format != FORMAT => Err(Fault::Format),
+            () if ![FORMAT, PARTS_FORMAT].contains(&datagram.format) => Err(Fault::Format),
             () if datagram.fleet != fleet => Err(Fault::Fleet),
             () if datagram.word.is_none() || datagram.session == 0 => Err(Fault::Garbled),
             () if datagram.incarnation >= MOST_INCARNATION || datagram.address().is_none() => {
@@ -298,71 +309,3 @@
 pub fn version_text(version: u32) -> String {
     format!("{}.{}.{}", version / 1_000_000, version / 1_000 % 1_000, version % 1_000)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-
-    fn datagram() -> Datagram {
-        Datagram {
-            format: FORMAT,
-            fleet: "ferry".into(),
-            from: 3,
-            incarnation: 1_764_633_600_000,
-            session: 7,
-            to: 9,
-            number: 5,
-            heard: 4,
-            grants: true,
-            ip: 0x7f00_0001,
-            port: 7_946,
-            version: version("0.1.0"),
-            word: Some(Word::Ping(true)),
-            news: vec![News { who: 2, state: 3, incarnation: 8, by: 1, ip: 1, port: 2, version: 3 }],
-            released: vec![4],
-        }
-    }
-
-    #[test]
-    fn what_is_sealed_opens_with_the_same_key_and_fleet_alone() {
-        let (key, other) = (Key::new(b"one secret of the fleet"), Key::new(b"another secret"));
-        let sealed = key.seal(&datagram());
-        assert_eq!(key.open("ferry", &sealed), Ok(datagram()));
-        assert_eq!(sealed.len(), datagram().size());
-        assert_eq!(other.open("ferry", &sealed), Err(Fault::Foreign));
-        assert_eq!(key.open("cargo", &sealed), Err(Fault::Fleet));
-        assert_eq!(key.open("ferry", &sealed[..sealed.len() - 1]), Err(Fault::Foreign));
-        assert_eq!(key.open("ferry", &sealed[..TAG]), Err(Fault::Size));
-        assert_eq!(key.open("ferry", &[0; LONGEST + 1]), Err(Fault::Size));
-        type Change = fn(&mut Datagram);
-        let changes: [(Change, Fault); 6] = [
-            (|d| d.format = 2, Fault::Format),
-            (|d| d.word = None, Fault::Garbled),
-            (|d| d.session = 0, Fault::Garbled),
-            (|d| d.port = 0, Fault::Strange),
-            (|d| d.ip = 0xe000_0001, Fault::Strange),
-            (|d| d.incarnation = u64::MAX, Fault::Strange),
-        ];
-        for (change, fault) in changes {
-            let mut changed = datagram();
-            change(&mut changed);
-            assert_eq!(key.open("ferry", &key.seal(&changed)), Err(fault));
-        }
-    }
-
-    proptest! {
-        /// Whatever comes is told apart without a panic, and a datagram with any bit changed is foreign.
-        #[test]
-        fn noise_and_flipped_bits_are_not_taken(
-            noise in prop::collection::vec(any::<u8>(), 0..300), bit in 0usize..800,
-        ) {
-            let key = Key::new(b"one secret of the fleet");
-            prop_assert!(key.open("ferry", &noise).is_err());
-            let mut sealed = key.seal(&datagram());
-            let bit = bit % (sealed.len() * 8);
-            sealed[bit / 8] ^= 1 << (bit % 8);
-            prop_assert_eq!(key.open("ferry", &sealed), Err(Fault::Foreign));
-        }
-    }
-}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,4 +3,5 @@
 pub mod datagram;
 pub mod link;
 pub mod parts;
+pub mod released;
 pub mod view;
--- a/src/fleet/parts.rs
+++ b/src/fleet/parts.rs
@@ -8,9 +8,12 @@
 //! ago than a lease lasts; and who has said so renews that lease again only after such a time. Two such majorities have
 //! a member in common, so that nobody holds its lease while others use its rest.
 //!
+//! In a large fleet a datagram carries a part of what its sender has released, and each part counts from its own age.
+//!
 //! Times are told without a common clock: what a peer says is at least as young as the last datagram of one's own that
 //! it had heard when it spoke.
 
+use super::released::{has, insert, parts, remove, window_bits, Encoding, ReleasedPart, SaidPart};
 use crate::interface::Micros;
 
 /// A lease lasts so long at the least, in µs.
@@ -36,9 +39,15 @@
     regrant: Micros,
     /// The peer has renewed the own lease at this time or later.
     granted: Option<Micros>,
-    /// And has said at this time or later who is released.
-    said: Option<Micros>,
-    released: Vec<u8>,
+    /// Whom the peer has released, by windows of the set, without those at the end of which nothing was said.
+    votes: Vec<Votes>,
+}
+
+/// What a peer has said of one window of the set of released leases, at this time or later.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Votes {
+    said: Micros,
+    bits: Vec<u8>,
 }
 
 impl Way {
@@ -52,13 +61,28 @@
         self.denied.is_none() && now >= self.regrant
     }
 
-    /// Takes what the peer said at `bound` or later.
-    pub fn told(&mut self, bound: Micros, grants: bool, released: &[u8]) {
+    /// Takes what the peer said at `bound` or later: whether it renews the own lease, and whom it has released.
+    pub fn told(&mut self, bound: Micros, grants: bool, released: Option<&SaidPart>) {
         if grants {
             self.granted = self.granted.max(Some(bound));
         }
-        if self.said <= Some(bound) {
-            (self.said, self.released) = (Some(bound), released.to_vec());
+        let Some(part) = released else { return };
+        for (index, bits) in part.windows.iter().enumerate() {
+            self.vote(part.first_window + index, bound, bits);
+        }
+    }
+
+    fn vote(&mut self, window: usize, said: Micros, bits: &[u8]) {
+        if self.votes.len() <= window {
+            // Nobody in it was released before, nor is now.
+            if bits.is_empty() {
+                return;
+            }
+            self.votes.resize_with(window + 1, Votes::default);
+        }
+        let known = &mut self.votes[window];
+        if known.said <= said {
+            *known = Votes { said, bits: bits.to_vec() };
         }
     }
 }
@@ -108,10 +132,9 @@
     }
 }
 
-/// For each limiter the time to which more than half of the fleet, of `size`, has said released of it; `said` has
-/// what each said and to when that counts.
-fn majority_ends(size: usize, mut said: Vec<(Micros, &[u8])>) -> Vec<Option<Micros>> {
-    let majority = size / 2 + 1;
+/// For each limiter of a window of `size` the time to which `majority` limiters have said released of it; `said` has
+/// what each said of the window and to when that counts.
+fn majority_ends(majority: usize, size: usize, mut said: Vec<(Micros, &[u8])>) -> Vec<Option<Micros>> {
     let mut ends = vec![None; size];
     if said.len() < majority {
         return ends;
@@ -128,47 +151,68 @@
     ends
 }
 
-fn has(bits: &[u8], who: usize) -> bool {
-    bits.get(who / 8).is_some_and(|byte| byte >> (who % 8) & 1 == 1)
-}
-
-/// Whom this limiter says released of: a bit each, without the noughts at the end.
+/// Whom this limiter says released of, and how it says so.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Released {
     lease: Micros,
+    limiters: u32,
+    encoding: Encoding,
+    /// A bit each, without the empty bytes at the end.
     bits: Vec<u8>,
+    /// The same as it is carried in parts.
+    parts: Vec<ReleasedPart>,
     /// No lease that is not yet released can become so before this time.
     scan_at: Micros,
 }
 
 impl Released {
     /// Nobody yet.
-    pub fn new(lease: Micros) -> Self {
-        Self { lease, bits: Vec::new(), scan_at: 0 }
+    pub fn new(lease: Micros, limiters: u32, encoding: Encoding) -> Self {
+        Self { lease, limiters, encoding, bits: Vec::new(), parts: Vec::new(), scan_at: 0 }
     }
 
-    /// As it is said.
+    /// The whole set.
     pub fn bits(&self) -> &[u8] {
         &self.bits
     }
 
+    /// Parts that say the whole set; none if nobody is released or the whole set is in every datagram.
+    pub fn part_count(&self) -> usize {
+        self.parts.len()
+    }
+
+    /// The part whose turn it is. Each part has its turn in a row of as many turns, and each row begins one part
+    /// later, so that no part falls to questions alone: what an answer says is younger.
+    pub fn part(&self, turn: usize) -> Option<&ReleasedPart> {
+        let count = self.part_count();
+        (count > 0).then(|| &self.parts[(turn + turn / count) % count])
+    }
+
+    fn encode(&mut self) {
+        if let Encoding::Parts { window, most_run_bytes } = self.encoding {
+            self.parts = parts(&self.bits, self.limiters, window, most_run_bytes);
+        }
+    }
+
     /// Adds those whose lease was not renewed for longer than it lasts. Looks at every limiter only when one is due.
     pub fn scan(&mut self, now: Micros, ways: &[Way]) {
         if now < self.scan_at {
             return;
         }
         self.scan_at = Micros::MAX;
+        let mut added = false;
         for (who, way) in ways.iter().enumerate() {
             let Some(since) = way.denied.filter(|_| !has(&self.bits, who)) else { continue };
             let due = since + longer(self.lease);
             if now < due {
                 self.scan_at = self.scan_at.min(due);
-                continue;
-            }
-            if self.bits.len() <= who / 8 {
-                self.bits.resize(who / 8 + 1, 0);
+            } else {
+                insert(&mut self.bits, who);
+                added = true;
             }
-            self.bits[who / 8] |= 1 << (who % 8);
+        }
+        if added {
+            self.encode();
         }
     }
 
@@ -181,10 +225,8 @@
         }
         way.denied = None;
         if has(&self.bits, who) {
-            self.bits[who / 8] &= !(1 << (who % 8));
-            while self.bits.last() == Some(&0) {
-                self.bits.pop();
-            }
+            remove(&mut self.bits, who);
+            self.encode();
             way.regrant = way.regrant.max(now + longer(self.lease));
         }
     }
@@ -234,12 +276,17 @@
             }
             _ => 0,
         };
-        // What it says itself it says now. Who says released of nobody has no vote to count.
-        let own = (now + lease, released.bits());
-        let theirs = others().filter_map(|way| way.said.map(|at| (at + lease, &*way.released)));
-        let counts = |(end, votes): &(Micros, &[u8])| now < *end && !votes.is_empty();
-        let said: Vec<_> = theirs.chain([own]).filter(counts).collect();
-        let mut given = majority_ends(size, said);
+        let (majority, window) = (size / 2 + 1, released.encoding.window(size));
+        let mut given = Vec::with_capacity(size);
+        for number in 0..size.div_ceil(window) {
+            // What it says itself it says now. Who says released of nobody has no vote to count.
+            let own = (now + lease, window_bits(released.bits(), window, number));
+            let theirs = others().filter_map(|way| way.votes.get(number));
+            let theirs = theirs.map(|votes| (votes.said + lease, &*votes.bits));
+            let counts = |(end, votes): &(Micros, &[u8])| now < *end && !votes.is_empty();
+            let said = theirs.chain([own]).filter(counts).collect();
+            given.extend(majority_ends(majority, window.min(size - number * window), said));
+        }
         given.iter_mut().zip(living).filter(|(_, lives)| **lives).for_each(|(end, _)| *end = None);
         let given_until = given.iter().flatten().min().copied().unwrap_or(Micros::MAX);
         let given_away = given.iter().map(Option::is_some).collect();
@@ -282,60 +329,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    const LEASE: Micros = 10;
-
-    #[test]
-    fn a_lease_needs_more_than_half_and_lasts_from_what_was_surely_heard() {
-        let mut ways = vec![Way::default(), Way::new(0, LEASE), Way::new(0, LEASE)];
-        let released = Released::new(LEASE);
-        let until = |ways: &[Way]| Standing::new(100, (0, 0.5), &[true; 3], ways, &released).until;
-        assert_eq!(until(&ways), 0);
-        ways[1].told(90, true, &[]);
-        assert_eq!(until(&ways), 100);
-        // A later one that does not renew, or an older one that did, changes nothing.
-        ways[1].told(95, false, &[]);
-        ways[1].told(80, true, &[]);
-        assert_eq!(until(&ways), 100);
-        ways[2].told(97, true, &[]);
-        assert_eq!(until(&ways), 107);
-    }
-
-    #[test]
-    fn what_a_dead_one_leaves_is_shared_once_more_than_half_have_waited_a_lease() {
-        let mut released = Released::new(LEASE);
-        let mut ways = vec![Way::default(), Way::new(0, LEASE), Way::new(0, LEASE)];
-        // Number 1 lives, number 2 dies at 20.
-        released.changed(1, 1, true, &mut ways[1]);
-        released.changed(1, 2, true, &mut ways[2]);
-        released.changed(20, 2, false, &mut ways[2]);
-        released.scan(30, &ways);
-        assert!(released.bits().is_empty());
-        released.scan(31, &ways);
-        assert_eq!(released.bits(), [4]);
-        let standing = |now, ways: &[Way], released: &Released| {
-            Standing::new(now, (0, 0.5), &[true, true, false], ways, released)
-        };
-        ways[1].told(30, true, &[]);
-        assert_eq!(standing(32, &ways, &released).given_away, [false; 3]);
-        ways[1].told(31, true, &[4]);
-        let now = standing(32, &ways, &released);
-        assert_eq!(now.given_away, [false, false, true]);
-        assert_eq!(now.part(32, 0..3), Some(0.5 / 3.0 + 0.25));
-        // Without a lease it has what it keeps, and outside of a set nothing.
-        assert_eq!((now.until, now.given_until), (41, 41));
-        assert_eq!(now.part(41, 0..3), Some(0.5 / 3.0));
-        assert_eq!(now.part(32, 1..3), None);
-        assert_eq!(now.parts(32, 1, 2), 2.0);
-        // What was said too long ago counts no more.
-        assert_eq!(standing(41, &ways, &released).given_away, [false; 3]);
-        // Back: renewed again only after everybody has forgotten that it was released.
-        released.changed(35, 2, true, &mut ways[2]);
-        assert!(released.bits().is_empty());
-        assert!(!ways[2].grants(45) && ways[2].grants(46));
-    }
-}
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -7,8 +7,9 @@
 //! member that others vouch for doubts its own health and slows down, and what space is left in a datagram goes to
 //! the rest of the view, in turn.
 
-use super::datagram::{Datagram, Fault, News, State, Word, FORMAT, LONGEST};
+use super::datagram::{Datagram, Fault, News, State, Word, LONGEST};
 use super::parts::{self, Standing};
+use super::released::{Encoding, ReleasedPart, SaidPart};
 use crate::interface::Micros;
 use std::net::SocketAddrV4;
 
@@ -30,6 +31,9 @@
 /// How far doubt slows a member down, at the most.
 const DOUBT: f64 = 8.0;
 const DOUBT_GAIN: f64 = 0.1;
+/// Parts of the set of released leases that follow an answer at once, so that all of the set of a fleet of three
+/// windows is as young as the answer.
+const PARTS_AFTER_ACK: usize = 2;
 /// Send times kept for each peer.
 const SENT: usize = 4;
 /// Questions asked for others that are remembered.
@@ -44,6 +48,8 @@
     pub me: u32,
     /// Limiters that are configured.
     pub size: u32,
+    /// How the set of released leases is carried.
+    pub encoding: Encoding,
     /// The fleet's name.
     pub fleet: String,
     /// Where this one is reached.
@@ -177,6 +183,8 @@
     number: u64,
     sent: [(u64, Micros); SENT],
     heard: Option<Micros>,
+    /// Parts of the set of released leases that were sent to it.
+    parts_sent: usize,
 }
 
 impl Member {
@@ -197,6 +205,8 @@
     session: u64,
     heard: u64,
     clash: bool,
+    /// The datagram carries a part of the set of released leases.
+    with_part: bool,
 }
 
 /// A question that is out.
@@ -325,7 +335,7 @@
             loss: 0.0,
             unanswered: false,
             leaving: false,
-            released: parts::Released::new(lease),
+            released: parts::Released::new(lease, setup.size, setup.encoding),
             counts: Counts::default(),
             setup,
         }
@@ -519,10 +529,24 @@
     /// Sends to a member, with as much of what is new as fits; false if there was no room or no address.
     fn say(&mut self, now: Micros, to: usize, word: Word, todo: &mut Vec<Do>) -> bool {
         let Member { address, session, window, .. } = &self.members[to];
-        let way = Way { at: *address, session: *session, heard: window.top, clash: false };
+        // Gossip leaves the room to news.
+        let with_part = !matches!(word, Word::Gossip(_));
+        let way = Way { at: *address, session: *session, heard: window.top, clash: false, with_part };
         self.say_to(now, to, way, word, todo)
     }
 
+    /// Answers a question; what does not fit of the set of released leases follows at once.
+    fn acknowledge(&mut self, now: Micros, to: usize, todo: &mut Vec<Do>) {
+        self.say(now, to, Word::Ack(true), todo);
+        let further = self.released.part_count().saturating_sub(1).min(PARTS_AFTER_ACK);
+        for _ in 0..further {
+            let Member { address, session, window, .. } = &self.members[to];
+            let way =
+                Way { at: *address, session: *session, heard: window.top, clash: false, with_part: true };
+            self.say_to(now, to, way, Word::Gossip(true), todo);
+        }
+    }
+
     fn say_to(&mut self, now: Micros, to: usize, way: Way, word: Word, todo: &mut Vec<Do>) -> bool {
         let Some(at) = way.at else { return false };
         if !self.out.take(now) {
@@ -534,8 +558,12 @@
         member.sent[member.number as usize % SENT] = (member.number, now);
         let (number, grants) = (member.number, self.ways[to].grants(now));
         let own = self.setup.address;
+        let (released, released_part, limiters) = match self.setup.encoding {
+            Encoding::Whole => (self.released.bits().to_vec(), None, 0),
+            Encoding::Parts { .. } => (Vec::new(), self.next_part(to, way.with_part), self.setup.size),
+        };
         let mut datagram = Datagram {
-            format: FORMAT,
+            format: self.setup.encoding.format(),
             fleet: self.setup.fleet.clone(),
             from: self.setup.me,
             incarnation: self.members[self.setup.me as usize].incarnation,
@@ -549,7 +577,9 @@
             version: self.setup.version,
             word: Some(word),
             news: Vec::new(),
-            released: self.released.bits().to_vec(),
+            released,
+            released_part,
+            limiters,
         };
         self.fill(to, way.clash, &mut datagram);
         self.counts.sent += 1;
@@ -558,6 +588,13 @@
         true
     }
 
+    /// The part of the set of released leases whose turn it is.
+    fn next_part(&mut self, to: usize, with_part: bool) -> Option<ReleasedPart> {
+        let part = self.released.part(self.members[to].parts_sent).filter(|_| with_part)?;
+        self.members[to].parts_sent += 1;
+        Some(part.clone())
+    }
+
     /// What the receiver must hear of itself comes first, then what is new, then the rest of the view in turn.
     fn fill(&mut self, to: usize, clash: bool, datagram: &mut Datagram) {
         let mut size = datagram.size();
@@ -629,6 +666,7 @@
     }
 
     fn take(&mut self, now: Micros, datagram: Datagram, todo: &mut Vec<Do>) -> Result<(), Fault> {
+        let released = self.released_by(&datagram)?;
         let (from, me) = (datagram.from as usize, self.setup.me as usize);
         if from >= self.members.len() || from == me {
             return Err(Fault::Strange);
@@ -651,7 +689,8 @@
                 return Err(Fault::Flood);
             }
             let at = known.address.filter(|_| known.seed).or_else(|| datagram.address());
-            let way = Way { at, session: datagram.session, heard: datagram.number, clash: proven };
+            let (session, heard) = (datagram.session, datagram.number);
+            let way = Way { at, session, heard, clash: proven, with_part: true };
             self.say_to(now, from, way, Word::Ack(true), todo);
             return if proven { Ok(()) } else { Err(Fault::Stale) };
         }
@@ -669,7 +708,7 @@
         // One that was forgotten has to be told so.
         member.address = member.address.or_else(|| datagram.address());
         if let Some(bound) = member.sent_at(datagram.heard) {
-            self.ways[from].told(bound, datagram.grants, &datagram.released);
+            self.ways[from].told(bound, datagram.grants, released.as_ref());
         }
         if let Some(probe) = self.probe.as_mut().filter(|p| p.target == from) {
             probe.answered |= datagram.heard >= probe.number;
@@ -690,7 +729,7 @@
             }
         }
         match word {
-            Word::Ping(_) => _ = self.say(now, from, Word::Ack(true), todo),
+            Word::Ping(_) => self.acknowledge(now, from, todo),
             Word::Ask(target) => self.ask_for(now, from, target as usize, todo),
             Word::Vouch(target) => {
                 if let Some(probe) = self.probe.as_mut().filter(|p| p.target == target as usize && p.asked) {
@@ -709,6 +748,21 @@
         Ok(())
     }
 
+    /// What the sender says of the set of released leases, if it is of a fleet of this format and size.
+    fn released_by(&self, datagram: &Datagram) -> Result<Option<SaidPart>, Fault> {
+        let Setup { size, encoding, .. } = self.setup;
+        match encoding {
+            _ if datagram.format != encoding.format() => Err(Fault::Format),
+            Encoding::Whole => Ok(Some(SaidPart::whole(&datagram.released, size as usize))),
+            Encoding::Parts { .. } if datagram.limiters != size => Err(Fault::Fleet),
+            Encoding::Parts { .. } if !datagram.released.is_empty() => Err(Fault::Strange),
+            Encoding::Parts { window, .. } => match &datagram.released_part {
+                Some(part) => part.read(size, window).map(Some).ok_or(Fault::Strange),
+                None => Ok(None),
+            },
+        }
+    }
+
     fn ask_for(&mut self, now: Micros, asker: usize, target: usize, todo: &mut Vec<Do>) {
         if target >= self.members.len() || target == asker || target == self.setup.me as usize {
             return self.fault(Fault::Strange);
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -3,6 +3,7 @@
 
 use mossrill::fleet::datagram::Datagram;
 use mossrill::fleet::parts::Standing;
+use mossrill::fleet::released::Encoding;
 use mossrill::fleet::view::{Change, Do, Setup, View};
 use mossrill::interface::Micros;
 use rand::rngs::StdRng;
@@ -128,6 +129,7 @@
         let setup = Setup {
             me: 0,
             size,
+            encoding: Encoding::of(size),
             fleet: "ferry".into(),
             address: address(0),
             version: 1_000,
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -2,6 +2,7 @@
 //! any moment, whatever is said, heard late or lost, and whenever a core looks, nobody shares out what is still held.
 
 use mossrill::fleet::parts::{Released, Standing, Way};
+use mossrill::fleet::released::{Encoding, SaidPart};
 use stateright::{Checker, Model, Property};
 
 /// A lease lasts a step of time, and a tenth longer where clocks may drift.
@@ -12,6 +13,14 @@
 const CUT: usize = 2;
 const OTHERS: [usize; 2] = [0, 1];
 
+fn nobody_released() -> Released {
+    Released::new(LEASE, 3, Encoding::Whole)
+}
+
+fn said(released: &Released) -> SaidPart {
+    SaidPart::whole(released.bits(), 3)
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct State {
     now: u64,
@@ -79,9 +88,9 @@
 
     fn init_states(&self) -> Vec<State> {
         // Everybody has held everybody for living for long, and has just said so.
-        let (mut way, mut released) = (Way::new(0, 0), Released::new(LEASE));
+        let (mut way, mut released) = (Way::new(0, 0), nobody_released());
         released.changed(0, 0, true, &mut way);
-        way.told(LEASE, true, &[]);
+        way.told(LEASE, true, None);
         let own = Way::default();
         let ways = std::array::from_fn(|who| {
             std::array::from_fn(|other| if who == other { own.clone() } else { way.clone() })
@@ -90,7 +99,7 @@
             now: LEASE,
             lives: [true; 2],
             ways,
-            released: std::array::from_fn(|_| Released::new(LEASE)),
+            released: std::array::from_fn(|_| nobody_released()),
             told: Default::default(),
         };
         state.tell();
@@ -128,15 +137,15 @@
                     // As if nothing had been said of it.
                     Without::WaitingAgain if lives => {
                         ways[CUT] = Way::new(0, 0);
-                        Released::new(LEASE).changed(now, CUT, true, &mut ways[CUT]);
+                        nobody_released().changed(now, CUT, true, &mut ways[CUT]);
                     }
                     _ => {}
                 }
             }
             Step::Say(way) => {
                 let (who, to) = WAYS[way];
-                let (grants, bits) = (state.ways[who][to].grants(now), state.released[who].bits().to_vec());
-                state.ways[to][who].told(now, grants, &bits);
+                let (grants, part) = (state.ways[who][to].grants(now), said(&state.released[who]));
+                state.ways[to][who].told(now, grants, Some(&part));
             }
             Step::Tell => state.tell(),
         }
@@ -173,3 +182,132 @@
         assert!(checker.discovery("nobody shares out what is held").is_some(), "{without:?}");
     }
 }
+
+/// A lease of the tests below, which tell the time themselves.
+const SHORT: u64 = 10;
+
+fn nobody() -> Released {
+    Released::new(SHORT, 3, Encoding::Whole)
+}
+
+/// The whole set, as it is said.
+fn whole(bits: &[u8]) -> Option<SaidPart> {
+    Some(SaidPart::whole(bits, 3))
+}
+
+#[test]
+fn a_lease_needs_more_than_half_and_lasts_from_what_was_surely_heard() {
+    let mut ways = vec![Way::default(), Way::new(0, SHORT), Way::new(0, SHORT)];
+    let released = nobody();
+    let until = |ways: &[Way]| Standing::new(100, (0, 0.5), &[true; 3], ways, &released).until;
+    assert_eq!(until(&ways), 0);
+    ways[1].told(90, true, whole(&[]).as_ref());
+    assert_eq!(until(&ways), 100);
+    // A later one that does not renew, or an older one that did, changes nothing.
+    ways[1].told(95, false, whole(&[]).as_ref());
+    ways[1].told(80, true, whole(&[]).as_ref());
+    assert_eq!(until(&ways), 100);
+    ways[2].told(97, true, whole(&[]).as_ref());
+    assert_eq!(until(&ways), 107);
+}
+
+#[test]
+fn what_a_dead_one_leaves_is_shared_once_more_than_half_have_waited_a_lease() {
+    let mut released = nobody();
+    let mut ways = vec![Way::default(), Way::new(0, SHORT), Way::new(0, SHORT)];
+    // Number 1 lives, number 2 dies at 20.
+    released.changed(1, 1, true, &mut ways[1]);
+    released.changed(1, 2, true, &mut ways[2]);
+    released.changed(20, 2, false, &mut ways[2]);
+    released.scan(30, &ways);
+    assert!(released.bits().is_empty());
+    released.scan(31, &ways);
+    assert_eq!(released.bits(), [4]);
+    let standing = |now, ways: &[Way], released: &Released| {
+        Standing::new(now, (0, 0.5), &[true, true, false], ways, released)
+    };
+    ways[1].told(30, true, whole(&[]).as_ref());
+    assert_eq!(standing(32, &ways, &released).given_away, [false; 3]);
+    ways[1].told(31, true, whole(&[4]).as_ref());
+    let now = standing(32, &ways, &released);
+    assert_eq!(now.given_away, [false, false, true]);
+    assert_eq!(now.part(32, 0..3), Some(0.5 / 3.0 + 0.25));
+    // Without a lease it has what it keeps, and outside of a set nothing.
+    assert_eq!((now.until, now.given_until), (41, 41));
+    assert_eq!(now.part(41, 0..3), Some(0.5 / 3.0));
+    assert_eq!(now.part(32, 1..3), None);
+    assert_eq!(now.parts(32, 1, 2), 2.0);
+    // What was said too long ago counts no more.
+    assert_eq!(standing(41, &ways, &released).given_away, [false; 3]);
+    // Back: renewed again only after everybody has forgotten that it was released.
+    released.changed(35, 2, true, &mut ways[2]);
+    assert!(released.bits().is_empty());
+    assert!(!ways[2].grants(45) && ways[2].grants(46));
+}
+
+/// Twenty limiters in windows of eight; the last eleven are dead to all, and a part has one window.
+#[test]
+fn a_vote_counts_from_the_age_of_the_part_that_carried_it() {
+    const SIZE: usize = 20;
+    const ALIVE: usize = 9;
+    let encoding = Encoding::Parts { window: 8, most_run_bytes: 0 };
+    let mut released = Released::new(SHORT, SIZE as u32, encoding);
+    let mut ways = vec![Way::new(0, SHORT); SIZE];
+    ways[0] = Way::default();
+    (1..ALIVE).for_each(|who| released.changed(0, who, true, &mut ways[who]));
+    released.scan(11, &ways);
+    let parts: Vec<_> = (0..2).map(|turn| released.part(turn).expect("a part").clone()).collect();
+    assert_eq!((parts[0].first, parts[1].first), (8, 16));
+    let said = |turn: usize| parts[turn].read(SIZE as u32, 8);
+    let standing = |now, ways: &[Way]| {
+        let living: Vec<bool> = (0..SIZE).map(|who| who < ALIVE).collect();
+        Standing::new(now, (0, 0.5), &living, ways, &released)
+    };
+    // Ten others have said so of numbers 9 to 15 at 20, and of 16 to 19 at 25.
+    for way in &mut ways[1..11] {
+        way.told(20, true, said(0).as_ref());
+    }
+    assert_eq!(standing(26, &ways).given_away.iter().filter(|given| **given).count(), 7);
+    for way in &mut ways[1..11] {
+        way.told(25, true, said(1).as_ref());
+    }
+    let both = standing(26, &ways);
+    assert_eq!(both.given_away, (0..SIZE).map(|who| who >= ALIVE).collect::<Vec<_>>());
+    assert_eq!(both.given_until, 30);
+    // The younger part does not make the older one younger.
+    let later = standing(30, &ways);
+    assert_eq!(later.given_away, (0..SIZE).map(|who| who >= 16).collect::<Vec<_>>());
+    assert_eq!(later.given_until, 35);
+    // Nor does a renewal without a part.
+    ways[1..11].iter_mut().for_each(|way| way.told(34, true, None));
+    assert!(standing(35, &ways).given_away.iter().all(|given| !given));
+    // One vote less than a majority is none.
+    for way in &mut ways[1..10] {
+        way.told(40, true, said(0).as_ref());
+    }
+    assert!(standing(41, &ways).given_away.iter().all(|given| !given));
+}
+
+/// Each part has its turn in a row of as many, and in what a peer asks beside three parts that it answers with.
+#[test]
+fn parts_take_turns_and_none_is_carried_by_questions_alone() {
+    let encoding = Encoding::Parts { window: 8, most_run_bytes: 0 };
+    for windows in 1..=6 {
+        let size = 8 * windows;
+        let mut released = Released::new(SHORT, size as u32, encoding);
+        released.scan(11, &vec![Way::new(0, SHORT); size]);
+        let firsts = |turns: &mut dyn Iterator<Item = usize>| {
+            let mut firsts: Vec<_> = turns.map(|turn| released.part(turn).expect("a part").first).collect();
+            firsts.sort_unstable();
+            firsts.dedup();
+            firsts.len()
+        };
+        for first in 0..3 {
+            let row = first * windows;
+            assert_eq!(firsts(&mut (row..row + windows)), windows);
+        }
+        // A question, and an answer with what follows it.
+        let exchange = 1 + windows.min(3);
+        assert_eq!(firsts(&mut (0..exchange * windows * windows).step_by(exchange)), windows);
+    }
+}
--- a/tests/view.rs
+++ b/tests/view.rs
@@ -3,7 +3,8 @@
 #[path = "common/net.rs"]
 mod net;
 
-use mossrill::fleet::datagram::{Datagram, State, Word};
+use mossrill::fleet::datagram::{Datagram, Fault, Key, State, Word, FORMAT, PARTS_FORMAT, TAG};
+use mossrill::fleet::released::{Encoding, ReleasedPart};
 use mossrill::fleet::view::{Do, View};
 use net::*;
 use proptest::prelude::*;
@@ -270,6 +271,146 @@
     prop::collection::vec(step, 1..40)
 }
 
+/// As a large fleet carries the set of released leases, in windows so small that a few limiters need several.
+const SMALL_PARTS: Encoding = Encoding::Parts { window: 8, most_run_bytes: 2 };
+
+#[test]
+fn a_majority_shares_out_what_it_is_told_in_parts_and_gives_it_back() {
+    let mut net = Net::new(20, 18).with(|setup| setup.encoding = SMALL_PARTS);
+    net.start_all();
+    net.run(40 * SECOND);
+    let parts = |net: &Net| -> Vec<f64> {
+        net.up().map(|(_, p)| p.told.part(net.now, 0..20).unwrap_or(0.0)).collect()
+    };
+    let near = |parts: &[f64], part: f64| parts.iter().all(|own| (own - part).abs() < 1e-9);
+    assert!(near(&parts(&net), 0.05), "{:?}", parts(&net));
+    // Lost ones lie in each of the three windows, and no run takes them together.
+    net.side = (0..20).map(|who| u8::from(who % 3 == 0)).collect();
+    net.run(60 * SECOND);
+    let split = parts(&net);
+    let (minority, majority): (Vec<_>, Vec<_>) = (0..20).partition(|who| who % 3 == 0);
+    let of = |side: &[usize]| side.iter().map(|who| split[*who]).collect::<Vec<_>>();
+    assert!(near(&of(&majority), 0.5 / 20.0 + 0.5 / 13.0), "{:?}", of(&majority));
+    assert!(near(&of(&minority), 0.5 / 20.0), "{:?}", of(&minority));
+    net.side = vec![0; 20];
+    net.run(60 * SECOND);
+    assert!(near(&parts(&net), 0.05), "{:?}", parts(&net));
+}
+
+#[test]
+fn datagrams_of_another_format_or_size_or_with_bad_parts_are_dropped_and_counted() {
+    type Change = fn(&mut Datagram);
+    let changes: [(Change, Fault); 6] = [
+        (|d| d.format = FORMAT, Fault::Format),
+        (|d| d.limiters = 19, Fault::Fleet),
+        (|d| d.limiters = 0, Fault::Fleet),
+        (|d| d.released = vec![1], Fault::Strange),
+        (
+            |d| d.released_part = Some(ReleasedPart { first: 4, count: 8, ..ReleasedPart::default() }),
+            Fault::Strange,
+        ),
+        (
+            |d| d.released_part = Some(ReleasedPart { first: 24, count: 8, ..ReleasedPart::default() }),
+            Fault::Strange,
+        ),
+    ];
+    let mut net = Net::new(20, 19).with(|setup| setup.encoding = SMALL_PARTS);
+    net.start_all();
+    net.run(20 * SECOND);
+    let now = net.now;
+    let good = capture(&mut net.processes[1].as_mut().expect("up").view, now, &mut Vec::new());
+    let view = &mut net.processes[0].as_mut().expect("up").view;
+    let (before, counts) = (view.rows(), view.counts().clone());
+    for (index, (change, fault)) in changes.into_iter().enumerate() {
+        let mut bad = good.clone();
+        change(&mut bad);
+        let mut todo = Vec::new();
+        assert_eq!(view.heard(now, bad, &mut todo), Err(fault), "change {index}");
+        assert!(todo.is_empty());
+    }
+    assert_eq!(view.rows(), before);
+    let dropped = |fault: Fault| view.counts().faults[fault as usize] - counts.faults[fault as usize];
+    assert_eq!([Fault::Format, Fault::Fleet, Fault::Strange].map(dropped), [1, 2, 3]);
+    // And one of the format of large fleets where the whole set is carried.
+    let mut small = all_up(3, 20);
+    let now = small.now;
+    let good = capture(&mut small.processes[1].as_mut().expect("up").view, now, &mut Vec::new());
+    let view = &mut small.processes[0].as_mut().expect("up").view;
+    let large = Datagram { format: PARTS_FORMAT, limiters: 3, ..good };
+    assert_eq!(view.heard(now, large, &mut Vec::new()), Err(Fault::Format));
+}
+
+#[test]
+fn a_sealed_datagram_cut_short_is_dropped() {
+    let mut net = Net::new(20, 21).with(|setup| setup.encoding = SMALL_PARTS);
+    net.start_all();
+    net.run(20 * SECOND);
+    net.side = (0..20).map(|who| u8::from(who % 3 == 0)).collect();
+    net.run(30 * SECOND);
+    let now = net.now;
+    let caught = capture(&mut net.processes[3].as_mut().expect("up").view, now, &mut Vec::new());
+    assert!(caught.released_part.is_some(), "{caught:?}");
+    let key = Key::new(b"one secret of the fleet");
+    let sealed = key.seal(&caught);
+    let (mut garbled, mut refused) = (0, 0);
+    for length in 0..sealed.len() {
+        assert!(key.open("ferry", &sealed[..length]).is_err());
+        // Cut by one that has the key, before it is sealed.
+        let Some(body) = sealed.get(TAG..length) else { continue };
+        let Ok(short) = <Datagram as prost::Message>::decode(body) else {
+            garbled += 1;
+            continue;
+        };
+        let view = &mut net.processes[0].as_mut().expect("up").view;
+        refused += u32::from(
+            key.open("ferry", &key.seal(&short)).map(|d| view.heard(now, d, &mut Vec::new())) != Ok(Ok(())),
+        );
+    }
+    assert!(garbled > 0 && refused > 0);
+}
+
+/// Plays the steps, and looks at the sum of all parts each 0.1 s.
+fn all_parts_stay_within_the_whole(mut net: Net, steps: Vec<Step>) -> Result<(), TestCaseError> {
+    let size = net.processes.len();
+    net.start_all();
+    net.run(12 * SECOND);
+    for step in steps {
+        match step {
+            Step::Run(ms) => {
+                for _ in 0..=ms / 100 {
+                    net.run(100_000);
+                    let all = net.taken(0..size as u32);
+                    prop_assert!(all <= 1.0 + 1e-9, "{} of the whole", all);
+                    let three = net.taken(0..3);
+                    prop_assert!(three <= 1.0 + 1e-9, "{} of what three share", three);
+                }
+            }
+            Step::Kill(who) if who < size => net.kill(who),
+            Step::Start(who) if who < size => net.start(who),
+            Step::Still(who, ms) if who < size => net.still(who, ms * 1_000),
+            Step::Sides(side) => net.side = side[..size].to_vec(),
+            Step::Cut(a, b) if a < size && b < size => net.cut.push((a, b)),
+            Step::Loss(percent) => net.loss = f64::from(percent) / 100.0,
+            Step::Late(ms) => net.delay = (1_000, ms * 1_000 + 1_000),
+            _ => {}
+        }
+    }
+    (net.side, net.cut, net.loss, net.delay) = (vec![0; size], Vec::new(), 0.0, (1_000, 30_000));
+    for who in 0..size {
+        if net.processes[who].is_none() {
+            net.start(who);
+        }
+    }
+    net.run(60 * SECOND);
+    let seen = || net.up().map(|(who, p)| (who, p.view.incarnation(), p.view.rows())).collect::<Vec<_>>();
+    prop_assert!(net.settled(), "{:#?}", seen());
+    for (who, process) in net.up() {
+        let part = process.told.part(net.now, 0..size as u32).unwrap_or(0.0);
+        prop_assert!((part - 1.0 / size as f64).abs() < 1e-9, "{} has {}", who, part);
+    }
+    Ok(())
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
 
@@ -280,42 +421,21 @@
     fn all_parts_together_stay_within_the_whole(
         size in 3usize..6, seed in any::<u64>(), kept in prop::sample::select(vec![0.1, 0.5]), steps in steps(5),
     ) {
-        let mut net = Net::new(size as u32, seed).with(|setup| setup.kept = kept);
-        net.start_all();
-        net.run(12 * SECOND);
-        for step in steps {
-            match step {
-                Step::Run(ms) => {
-                    for _ in 0..=ms / 100 {
-                        net.run(100_000);
-                        let all = net.taken(0..size as u32);
-                        prop_assert!(all <= 1.0 + 1e-9, "{} of the whole", all);
-                        let three = net.taken(0..3);
-                        prop_assert!(three <= 1.0 + 1e-9, "{} of what three share", three);
-                    }
-                }
-                Step::Kill(who) if who < size => net.kill(who),
-                Step::Start(who) if who < size => net.start(who),
-                Step::Still(who, ms) if who < size => net.still(who, ms * 1_000),
-                Step::Sides(side) => net.side = side[..size].to_vec(),
-                Step::Cut(a, b) if a < size && b < size => net.cut.push((a, b)),
-                Step::Loss(percent) => net.loss = f64::from(percent) / 100.0,
-                Step::Late(ms) => net.delay = (1_000, ms * 1_000 + 1_000),
-                _ => {}
-            }
-        }
-        (net.side, net.cut, net.loss, net.delay) = (vec![0; size], Vec::new(), 0.0, (1_000, 30_000));
-        for who in 0..size {
-            if net.processes[who].is_none() {
-                net.start(who);
-            }
-        }
-        net.run(60 * SECOND);
-        let seen = || net.up().map(|(who, p)| (who, p.view.incarnation(), p.view.rows())).collect::<Vec<_>>();
-        prop_assert!(net.settled(), "{:#?}", seen());
-        for (who, process) in net.up() {
-            let part = process.told.part(net.now, 0..size as u32).unwrap_or(0.0);
-            prop_assert!((part - 1.0 / size as f64).abs() < 1e-9, "{} has {}", who, part);
-        }
+        let net = Net::new(size as u32, seed).with(|setup| setup.kept = kept);
+        all_parts_stay_within_the_whole(net, steps)?;
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// The same where the set of released leases takes several datagrams.
+    #[test]
+    fn all_parts_together_stay_within_the_whole_where_released_leases_are_told_in_parts(
+        size in 9usize..18, seed in any::<u64>(), kept in prop::sample::select(vec![0.1, 0.5]), steps in steps(17),
+    ) {
+        let change = |setup: &mut mossrill::fleet::view::Setup| (setup.kept, setup.encoding) = (kept, SMALL_PARTS);
+        let net = Net::new(size as u32, seed).with(change);
+        all_parts_stay_within_the_whole(net, steps)?;
     }
 }
