--- a/src/config.rs
+++ b/src/config.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::datagram::{version, Key as FleetKey, MOST_LIMITERS};
 use crate::fleet::link::Place;
+use crate::fleet::released::Encoding;
 use crate::fleet::view::Setup;
 use crate::interface::*;
 use crate::openapi::description::Description;
@@ -447,6 +448,7 @@
         setup: Setup {
             me,
             size,
+            encoding: Encoding::of(size),
             fleet: key.must("name", "text of 1 to 16 bytes", name)?,
             address: own,
             version: version(env!("CARGO_PKG_VERSION")),
