--- a/src/openapi/strict.rs
+++ b/src/openapi/strict.rs
@@ -44,6 +44,7 @@
 
 /// Looks through `part`, which is a piece of `text` itself, so that its place tells the line.
 fn find_twice(text: &str, part: &str, path: &str, faults: &mut Vec<String>) {
+    // Counts from the start of the text: for faults alone, or a long description takes the square of its length.
     let line = |value: &RawValue| {
         let offset = value.get().as_ptr() as usize - text.as_ptr() as usize;
         1 + text.as_bytes()[..offset].iter().filter(|b| **b == b'\n').count()
@@ -54,8 +55,9 @@
             let mut seen = HashMap::new();
             for (key, value) in entries {
                 let here = format!("{path}/{}", key.replace('~', "~0").replace('/', "~1"));
-                if let Some(before) = seen.insert(key, line(value)) {
-                    faults.push(format!("{here} stands twice, in lines {before} and {}", line(value)));
+                if let Some(before) = seen.insert(key, value) {
+                    let (first, second) = (line(before), line(value));
+                    faults.push(format!("{here} stands twice, in lines {first} and {second}"));
                 }
                 find_twice(text, value.get(), &here, faults);
             }
