--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -7,6 +7,7 @@
 use mossrill::net::http::{Body, Broken, Reader};
 use mossrill::net::quota_counter::QuotaCounter;
 use peers::*;
+use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
 use slog::{o, Discard, Logger};
 use socket2::{Domain, SockRef, Socket, Type};
@@ -174,8 +175,10 @@
     }
 }
 
-#[test]
-fn nor_is_one_that_came_over_http() {
+const FERRY: &str = include_str!("../deploy/ferry.openapi.json");
+
+/// The file of a limiter with an OpenAPI front, whose node keeps reports waiting at a gate; what the node has seen.
+fn gated_http() -> (Value, Gate, std::sync::mpsc::Receiver<String>) {
     let (gate, (tell, seen)) = (Gate::default(), channel());
     let (own, tell) = (gate.clone(), Mutex::new(tell));
     let node = http_peer(move |first, _, _| {
@@ -189,14 +192,54 @@
     (file["listen"], file["control"]) = ("127.0.0.1:0".into(), "127.0.0.1:0".into());
     (file["store"], file["ticket_nodes"]) =
         (serde_json::json!({}), serde_json::json!([{"name": "node-0", "address": node.to_string()}]));
-    let limiter = openapi_limiter(&file, include_str!("../deploy/ferry.openapi.json"));
-    let ask = |line: &str| {
-        let mut agent = Agent::connect(&limiter);
-        agent.say(&format!(
-            "{line} HTTP/1.1\r\nHost: x\r\nX-Agent-Account: agen-utama\r\nContent-Length: 0\r\n\r\n"
-        ));
-        agent
+    (file, gate, seen)
+}
+
+fn ask_http(at: SocketAddr, line: &str) -> Agent {
+    let mut agent = Agent::connect_at(at);
+    agent.say(&format!(
+        "{line} HTTP/1.1\r\nHost: x\r\nX-Agent-Account: agen-utama\r\nContent-Length: 0\r\n\r\n"
+    ));
+    agent
+}
+
+#[test]
+fn nor_over_http_is_one_whose_client_left_while_the_limiter_stood_still() {
+    // It is stopped while the attempt waits for the node's connection, which may be used again 20 ms after its last answer.
+    // As the limiter goes on, that time has passed and the client has left. A round in which it was stopped too late says
+    // nothing.
+    let round = |number: &usize| {
+        let (file, gate, seen) = gated_http();
+        let folder = std::env::temp_dir().join(format!("mossrill-still-{number}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let program = Program::start_openapi("still", &file, FERRY, &folder);
+        program.call_until("ready", "YES");
+        let mut first = ask_http(program.at, "GET /v1/reports/daily");
+        assert_eq!(seen.recv().expect("a request"), "/v1/reports/daily");
+        let left = ask_http(program.at, "POST /v1/tickets");
+        until(|| program.call("show-stat"), |stat| stat.contains("limiter.in_flight=2\n"));
+        let process = Pid::from_raw(program.number() as i32).expect("a process");
+        let began = Instant::now();
+        gate.open();
+        assert_eq!(first.line(), "HTTP/1.1 200 OK");
+        kill_process(process, Signal::STOP).expect("stopped");
+        let in_time = began.elapsed() < Duration::from_millis(15);
+        thread::sleep(Duration::from_millis(30));
+        drop(left);
+        kill_process(process, Signal::CONT).expect("goes on");
+        until(|| program.call("show-stat"), |stat| stat.contains("limiter.in_flight=0\n"));
+        _ = std::fs::remove_dir_all(&folder);
+        in_time.then(|| seen.try_iter().collect::<Vec<_>>())
     };
+    let good: Vec<_> = (0..100).filter_map(|number| round(&number)).take(5).collect();
+    assert_eq!(good, vec![Vec::<String>::new(); 5]);
+}
+
+#[test]
+fn nor_is_one_that_came_over_http() {
+    let (file, gate, seen) = gated_http();
+    let limiter = openapi_limiter(&file, FERRY);
+    let ask = |line: &str| ask_http(limiter.at, line);
     let mut first = ask("GET /v1/reports/daily");
     assert_eq!(seen.recv().expect("a request"), "/v1/reports/daily");
     let left = ask("POST /v1/tickets");
@@ -337,6 +380,74 @@
     assert!(!seen.contains(&format!("left-{good}")), "{seen:?}");
 }
 
+/// A process that runs for 10 ms of each 100 ms, for at most so long.
+fn a_tenth_of_a_core(program: &Program, longest: Duration) -> std::process::Child {
+    let turns = longest.as_millis() / 100;
+    let turn = "kill -CONT $0 && sleep 0.01 && kill -STOP $0 && sleep 0.09 || exit 0";
+    let script = format!("for turn in $(seq {turns}); do {turn}; done; kill -CONT $0");
+    let number = program.number().to_string();
+    std::process::Command::new("sh").args(["-c", &script, &number]).spawn().expect("a shell")
+}
+
+/// A measurement, not a test: `cargo test --release --test crossings -- --ignored --nocapture after_the_close`.
+#[test]
+#[ignore = "a measurement"]
+fn time_from_a_client_s_close_to_an_attempt_after_the_close_at_a_tenth_of_a_core() {
+    let arrived: Arc<Mutex<HashMap<String, Instant>>> = Arc::default();
+    let own = arrived.clone();
+    let (node, _seen) = resp_peer(move |_, words| {
+        own.lock().expect("whole").insert(words[2].clone(), Instant::now());
+        thread::sleep(Duration::from_millis(15));
+        serve(&words[2])
+    });
+    let nodes = ["s-1", "s-2", "s-3"].map(|name| (name, node));
+    let mut told = patient(quiet_list(), &nodes);
+    (told["settings"]["tariffs"][0]["refill"], told["settings"]["tariffs"][0]["peakUnits"]) =
+        (1e6.into(), 1e6.into());
+    let program = Program::start("after-the-close", &told);
+    program.call_until("ready", "YES");
+    let mut slowed = a_tenth_of_a_core(&program, Duration::from_secs(30));
+    let (at, began) = (program.at, Instant::now());
+    let clients = (0..80).map(|own| {
+        thread::spawn(move || {
+            let (mut closed, mut rng) = (Vec::new(), fastrand::Rng::with_seed(own));
+            for number in 0.. {
+                if began.elapsed() > Duration::from_secs(20) {
+                    break;
+                }
+                let id = format!("left-{own}-{number}");
+                let mut client = Agent::connect_at(at);
+                // Half of them are not read from when they leave.
+                let behind = if number % 2 == 0 { String::new() } else { nonsense() };
+                client.say(&(asking("look", &id, 5_000) + &behind));
+                thread::sleep(Duration::from_millis(rng.u64(0..600)));
+                drop(client);
+                closed.push((id, Instant::now()));
+            }
+            closed
+        })
+    });
+    let clients: Vec<_> = clients.collect();
+    let closed: Vec<_> = clients.into_iter().flat_map(|client| client.join().expect("an end")).collect();
+    thread::sleep(Duration::from_secs(3));
+    slowed.wait().expect("an end");
+    let arrived = arrived.lock().expect("whole");
+    let late = closed.iter().filter_map(|(id, at)| arrived.get(id)?.checked_duration_since(*at));
+    let mut late: Vec<_> = late.collect();
+    late.sort();
+    let part = |part: f64| late.get((late.len() as f64 * part) as usize).or(late.last());
+    println!(
+        "{} left, {} attempts came before and {} after: 50th {:?}, 99th {:?}, worst {:?}, {} after 0.1 s",
+        closed.len(),
+        arrived.len() - late.len(),
+        late.len(),
+        part(0.5),
+        part(0.99),
+        late.last(),
+        late.iter().filter(|late| **late > Duration::from_millis(100)).count()
+    );
+}
+
 // ---- nodes ----
 
 /// Takes a hold to a node that answers with an error once it drains and another is there, which is shut: the
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -271,6 +271,17 @@
         Self::spawn_by(shell, name, settings, None).listening()
     }
 
+    /// One with an OpenAPI front, its file and description in a folder.
+    pub fn start_openapi(name: &str, file: &Value, description: &str, folder: &Path) -> Self {
+        let path = folder.join("openapi.json");
+        std::fs::write(&path, file.to_string()).expect("a file");
+        std::fs::write(folder.join(file["description"].as_str().expect("a name")), description)
+            .expect("a file");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_mossrill"));
+        command.arg(path);
+        Self::spawn_by(command, name, file, None).listening()
+    }
+
     fn spawn(name: &str, settings: &Value, folder: Option<&Path>) -> Self {
         Self::spawn_by(Command::new(env!("CARGO_BIN_EXE_mossrill")), name, settings, folder)
     }
@@ -315,6 +326,11 @@
         (ticks(11) + ticks(12), memory.expect("a number"))
     }
 
+    /// Its number in the system.
+    pub fn number(&self) -> u32 {
+        self.child.id()
+    }
+
     /// How many descriptors it holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("a process").count()
