Stories of clients that leave close by shutdown, and stop a process for certain

Cause: four copies of crossings and platform side by side with two busy loops, load 84: requests whose clients had left were sent on in two of eight runs of crossings, with the look in place. The test process starts programs all the time, and until such a child runs its own program it holds a copy of every descriptor, the client's connection among them: dropped, that was closed later. And a process told to stop goes on until the thread that takes the signal gets the processor.

Change: the connection is shut down; each thread of the process is seen to stand still. A limiter's first request is asked again where it is refused (-BUSY), as an account may be.

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -7,7 +7,6 @@
 use mossrill::net::http::{Body, Broken, Reader};
 use mossrill::net::quota_counter::QuotaCounter;
 use peers::*;
-use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
 use slog::{o, Discard, Logger};
 use socket2::{Domain, SockRef, Socket, Type};
@@ -120,6 +119,12 @@
 
 // ---- agents that leave ----
 
+/// A client closes its connection. A process that another story is just starting may hold a copy of the descriptor: to
+/// drop it alone would close the connection later.
+fn leave(client: Agent) {
+    _ = client.0.get_ref().shutdown(Shutdown::Both);
+}
+
 /// A request and what its client sends behind it, `many` requests with the one that holds them up, wait for a node; the
 /// client does something more and leaves, and the node is free again so much later: nothing of it is sent on.
 fn leaves_in_the_queue(behind: &str, many: usize, told: impl Fn(&mut Agent), free_after: Duration) {
@@ -132,7 +137,7 @@
     left.say(&(asking("look", "left", 20_000) + behind));
     in_flight(&limiter, many);
     told(&mut left);
-    drop(left);
+    leave(left);
     thread::sleep(free_after);
     gate.open();
     assert_eq!(first.answer(), "first");
@@ -218,15 +223,14 @@
         assert_eq!(seen.recv().expect("a request"), "/v1/reports/daily");
         let left = ask_http(program.at, "POST /v1/tickets");
         until(|| program.call("show-stat"), |stat| stat.contains("limiter.in_flight=2\n"));
-        let process = Pid::from_raw(program.number() as i32).expect("a process");
         let began = Instant::now();
         gate.open();
         assert_eq!(first.line(), "HTTP/1.1 200 OK");
-        kill_process(process, Signal::STOP).expect("stopped");
+        program.stands_still();
         let in_time = began.elapsed() < Duration::from_millis(15);
         thread::sleep(Duration::from_millis(30));
-        drop(left);
-        kill_process(process, Signal::CONT).expect("goes on");
+        leave(left);
+        program.goes_on();
         until(|| program.call("show-stat"), |stat| stat.contains("limiter.in_flight=0\n"));
         _ = std::fs::remove_dir_all(&folder);
         in_time.then(|| seen.try_iter().collect::<Vec<_>>())
@@ -349,7 +353,13 @@
         let (limiter, mut client, gate, seen) = claiming();
         client.say(&nonsense());
         thread::sleep(Duration::from_millis(40));
-        let client = stays.then_some(client);
+        let client = match stays {
+            true => Some(client),
+            false => {
+                leave(client);
+                None
+            }
+        };
         gate.open();
         in_flight(&limiter, 0);
         // What is claimed is sent on, but for a client that has left.
@@ -371,7 +381,7 @@
         // On the connection of the first, which may be used again 20 ms after its answer.
         left.say(&(asking("look", &format!("left-{number}"), 20_000) + &nonsense()));
         thread::sleep(Duration::from_millis(4));
-        drop(left);
+        leave(left);
         began.elapsed() < Duration::from_millis(18)
     };
     let good = (0..500).find(round).expect("a good round");
@@ -421,7 +431,7 @@
                 let behind = if number % 2 == 0 { String::new() } else { nonsense() };
                 client.say(&(asking("look", &id, 5_000) + &behind));
                 thread::sleep(Duration::from_millis(rng.u64(0..600)));
-                drop(client);
+                leave(client);
                 closed.push((id, Instant::now()));
             }
             closed
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -5,6 +5,7 @@
 use mossrill::net::wiring::{Limiter, Reload, Stopper};
 use mossrill::net::{platform, resp};
 use mossrill::{config, openapi};
+use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use slog::{o, Discard, Logger};
 use std::collections::HashMap;
@@ -336,6 +337,22 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("a process").count()
     }
 
+    /// Stops it, and waits until each of its threads stands still.
+    pub fn stands_still(&self) {
+        kill_process(Pid::from_child(&self.child), Signal::STOP).expect("a process");
+        let still = || {
+            let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("a process");
+            let stats = tasks.filter_map(|task| std::fs::read_to_string(task.ok()?.path().join("stat")).ok());
+            stats.into_iter().all(|stat| stat.rsplit(") ").next().is_some_and(|rest| rest.starts_with('T')))
+        };
+        until(still, |still| *still);
+    }
+
+    /// Lets it go on.
+    pub fn goes_on(&self) {
+        kill_process(Pid::from_child(&self.child), Signal::CONT).expect("a process");
+    }
+
     /// How many threads it has.
     pub fn threads(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("a process").count()
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -498,9 +498,8 @@
         told["control"] = "127.0.0.1:0".into();
         let program = Program::start("own-list", &told);
         program.call_until("ready", "YES");
-        let mut client = Agent::ready_at(program.at);
-        client.ask("look", "first", 1500);
-        assert_eq!(client.answer(), "first");
+        let ask = || Agent::try_at(program.at)?.try_ask(&asking("look", "first", 1500));
+        until(ask, |answer| answer.as_deref() == Some("first"));
     }
 }
 
