--- a/lab/src/gateway_host.rs
+++ b/lab/src/gateway_host.rs
@@ -219,6 +219,8 @@
             Action::Refuse { id, .. } | Action::Fail { id } => self.refuse(&id, cause),
             Action::Timer { after, token } => self.at(now + after, Due::Timer(token)),
             Action::Count { name, by, ttl } => self.call(now, CounterCall { name, by, ttl }, effects),
+            // Asked for only where the settings say that units are leased, which these never do.
+            Action::Lease { .. } => {}
             Action::Cancel { .. } | Action::Probe { .. } | Action::Tell { .. } | Action::Watch => {}
         }
     }
--- a/src/limiter/actions.rs
+++ b/src/limiter/actions.rs
@@ -44,7 +44,7 @@
                 }
             }
             Action::Refuse { id, after } => {
-                let Some(open) = self.close(number(&id)) else { return };
+                let Some(open) = self.close(now, number(&id)) else { return };
                 let late = open.late || now + LAST_MOMENTS >= open.deadline;
                 // The rule on refusals binds whoever words them: what may have run is failed, not refused.
                 let answer = if open.safe || !open.may_have_run {
@@ -55,7 +55,7 @@
                 self.answer(open.client, answer);
             }
             Action::Fail { id } => {
-                let Some(open) = self.close(number(&id)) else { return };
+                let Some(open) = self.close(now, number(&id)) else { return };
                 let late = open.late || now + LAST_MOMENTS >= open.deadline;
                 self.answer(open.client, Answer::Failed { late });
             }
@@ -72,6 +72,9 @@
                 self.timers.set(now + self.counter_timeout, Due::Count(self.count_calls));
                 self.edges.add(self.count_calls, name, by, Duration::from_micros(ttl));
             }
+            Action::Lease { id, customer, plan, spread, units } => {
+                self.lease(now, id, &customer, (plan, spread), units);
+            }
             // Limiters share nothing but the quota counter, and the node list is watched from the start.
             Action::Tell { .. } | Action::Watch => {}
         }
--- a/src/limiter/requests.rs
+++ b/src/limiter/requests.rs
@@ -85,15 +85,18 @@
 
     /// Guards against a module that says nothing: the agent gets its answer at its deadline all the same.
     pub(super) fn overdue(&mut self, now: Micros, number: u64) {
-        let Some(open) = self.close(number) else { return };
+        let Some(open) = self.close(now, number) else { return };
         warn!(self.log, "unanswered at its deadline"; "request" => &*open.id.0, "attempts" => open.attempts);
         self.answer(open.client, Answer::Failed { late: true });
         self.tell(now, Event::Gone { id: open.id });
     }
 
     /// Takes a request out of the open ones: its answer is due now, and what is not written for it yet never will be.
-    pub(super) fn close(&mut self, number: u64) -> Option<Open<E>> {
+    pub(super) fn close(&mut self, now: Micros, number: u64) -> Option<Open<E>> {
         let open = self.open.remove(&number)?;
+        if let Some(leases) = &mut self.leases {
+            leases.close(now, &open.id, open.attempts > 0);
+        }
         for attempt in 0..open.attempts {
             let attempt = AttemptId { request: number, attempt };
             if self.out.contains_key(&attempt) && self.edges.withdraw(attempt) {
