--- a/lab/src/load_generator.rs
+++ b/lab/src/load_generator.rs
@@ -21,6 +21,8 @@
 const CONNECTIONS: usize = 48;
 /// An answer is waited for so long.
 const ANSWER_LIMIT: Duration = Duration::from_secs(5);
+/// The longest latency that is told apart, in µs.
+const LONGEST_US: u64 = 60_000_000;
 /// The longest answer.
 const LONGEST_ANSWER: usize = 64 * 1024;
 
@@ -53,7 +55,7 @@
 
 impl Outcomes {
     fn new() -> Result<Self, String> {
-        let histogram = || Histogram::new(3).map_err(|fault| fault.to_string());
+        let histogram = || Histogram::new_with_bounds(1, LONGEST_US, 3).map_err(|fault| fault.to_string());
         Ok(Self {
             latency: histogram()?,
             added: histogram()?,
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -7,8 +7,9 @@
 //! member that others vouch for doubts its own health and slows down, and what space is left in a datagram goes to
 //! the rest of the view, in turn.
 
-use super::datagram::{Datagram, Fault, News, State, Word, FORMAT, LONGEST};
+use super::datagram::{Datagram, Fault, News, State, Word, LONGEST};
 use super::parts::{self, Standing};
+use super::released::{Encoding, ReleasedPart, SaidPart};
 use crate::interface::Micros;
 use std::net::SocketAddrV4;
 
@@ -30,6 +31,9 @@
 /// How far doubt slows a member down, at the most.
 const DOUBT: f64 = 8.0;
 const DOUBT_GAIN: f64 = 0.1;
+/// Parts of the set of released leases that follow an answer at once, so that all of the set of a fleet of three
+/// windows is as young as the answer.
+const PARTS_AFTER_ACK: usize = 2;
 /// Send times kept for each peer.
 const SENT: usize = 4;
 /// Questions asked for others that are remembered.
@@ -44,6 +48,8 @@
     pub me: u32,
     /// Limiters that are configured.
     pub size: u32,
+    /// How the set of released leases is carried.
+    pub encoding: Encoding,
     /// The fleet's name.
     pub fleet: String,
     /// Where this one is reached.
@@ -170,8 +176,6 @@
     since: Micros,
     by: u32,
     version: u32,
-    /// Datagrams that are still to tell of it.
-    retell: u32,
     suspicion: Option<Suspicion>,
     /// Its session, what came in it, and what was sent to it: the last numbers with their times.
     session: u64,
@@ -179,7 +183,8 @@
     number: u64,
     sent: [(u64, Micros); SENT],
     heard: Option<Micros>,
-    lease: parts::Way,
+    /// Parts of the set of released leases that were sent to it.
+    parts_sent: usize,
 }
 
 impl Member {
@@ -200,6 +205,8 @@
     session: u64,
     heard: u64,
     clash: bool,
+    /// The datagram carries a part of the set of released leases.
+    with_part: bool,
 }
 
 /// A question that is out.
@@ -252,6 +259,13 @@
     session: u64,
     rng: fastrand::Rng,
     members: Vec<Member>,
+    /// By number, beside `members`, as each of these is looked through often: who is held for living, datagrams that
+    /// are still to tell of it, and what was said of leases.
+    living: Vec<bool>,
+    retell: Vec<u32>,
+    ways: Vec<parts::Way>,
+    /// No member is to be forgotten before this time.
+    forget_at: Micros,
     /// Numbers of the others, in the order in which they are asked, and in which lost ones are.
     round: Vec<usize>,
     place: usize,
@@ -284,7 +298,9 @@
         let (me, size) = (setup.me as usize, setup.size as usize);
         let mut members: Vec<Member> = (0..size).map(|_| Member::default()).collect();
         let lease = parts::lease(setup.period, setup.size);
-        members.iter_mut().for_each(|m| m.lease = parts::Way::new(now, lease));
+        let mut ways = vec![parts::Way::new(now, lease); size];
+        ways[me] = parts::Way::default();
+        let living = (0..size).map(|who| who == me).collect();
         for (who, address) in &setup.seeds {
             let member = &mut members[*who as usize];
             (member.address, member.seed) = (Some(*address), true);
@@ -292,7 +308,6 @@
         let own = &mut members[me];
         (own.state, own.incarnation, own.since) = (State::Alive, incarnation.max(1), now);
         (own.by, own.version, own.address) = (setup.me, setup.version, Some(setup.address));
-        own.lease = parts::Way::default();
         let mut round: Vec<usize> = (0..size).filter(|n| *n != me).collect();
         rng.shuffle(&mut round);
         let first = now + rng.u64(0..setup.period.max(1));
@@ -303,6 +318,10 @@
             strangers: Bucket::new(f64::from(setup.in_per_s) / 2.0, now),
             rng,
             members,
+            living,
+            retell: vec![0; size],
+            ways,
+            forget_at: Micros::MAX,
             round,
             place: 0,
             lost: 0,
@@ -316,7 +335,7 @@
             loss: 0.0,
             unanswered: false,
             leaving: false,
-            released: parts::Released::new(lease),
+            released: parts::Released::new(lease, setup.size, setup.encoding),
             counts: Counts::default(),
             setup,
         }
@@ -382,7 +401,7 @@
             }
             let who = self.round[self.place];
             self.place = (self.place + 1) % self.round.len();
-            (self.members[who].state.lives() && self.members[who].address.is_some()).then_some(who)
+            (self.living[who] && self.members[who].address.is_some()).then_some(who)
         });
         if let Some(target) = target {
             if self.say(now, target, Word::Ping(true), todo) {
@@ -396,8 +415,8 @@
         for _ in 0..if target.is_some() { 1 } else { HELPERS } {
             let lost = (0..self.round.len()).find_map(|_| {
                 self.lost = (self.lost + 1) % self.round.len();
-                let member = &self.members[self.round[self.lost]];
-                (!member.state.lives() && member.address.is_some()).then_some(self.round[self.lost])
+                let who = self.round[self.lost];
+                (!self.living[who] && self.members[who].address.is_some()).then_some(who)
             });
             if let Some(lost) = lost {
                 self.say(now, lost, Word::Ping(true), todo);
@@ -464,23 +483,32 @@
     }
 
     fn forget(&mut self, now: Micros) {
-        let forget = self.setup.forget;
-        for member in self.members.iter_mut().filter(|m| matches!(m.state, State::Dead | State::Left)) {
-            if now >= member.since + forget {
-                (member.state, member.forgotten, member.retell) = (State::Unknown, true, 0);
-                member.since = now;
-                if !member.seed {
-                    member.address = None;
-                }
+        self.released.scan(now, &self.ways);
+        if now < self.forget_at {
+            return;
+        }
+        self.forget_at = Micros::MAX;
+        for (who, member) in self.members.iter_mut().enumerate() {
+            if !matches!(member.state, State::Dead | State::Left) {
+                continue;
+            }
+            let due = member.since + self.setup.forget;
+            if now < due {
+                self.forget_at = self.forget_at.min(due);
+                continue;
+            }
+            (member.state, member.forgotten, member.since) = (State::Unknown, true, now);
+            self.retell[who] = 0;
+            if !member.seed {
+                member.address = None;
             }
         }
-        self.released.scan(now, self.members.iter().map(|m| &m.lease));
     }
 
     // ---- telling ----
 
     fn gossip(&mut self, now: Micros, todo: &mut Vec<Do>) {
-        self.fresh.retain(|who| self.members[*who].retell > 0);
+        self.fresh.retain(|who| self.retell[*who] > 0);
         // A quarter is left for questions and answers.
         if self.fresh.is_empty() || self.out.level(now) < f64::from(self.setup.out_per_s) / 8.0 {
             return;
@@ -492,7 +520,7 @@
 
     fn retell(&mut self, who: usize) {
         let times = RETOLD * (self.members.len() as f64 + 1.0).log10().ceil();
-        self.members[who].retell = times as u32;
+        self.retell[who] = times as u32;
         if !self.fresh.contains(&who) {
             self.fresh.push(who);
         }
@@ -501,10 +529,24 @@
     /// Sends to a member, with as much of what is new as fits; false if there was no room or no address.
     fn say(&mut self, now: Micros, to: usize, word: Word, todo: &mut Vec<Do>) -> bool {
         let Member { address, session, window, .. } = &self.members[to];
-        let way = Way { at: *address, session: *session, heard: window.top, clash: false };
+        // Gossip leaves the room to news.
+        let with_part = !matches!(word, Word::Gossip(_));
+        let way = Way { at: *address, session: *session, heard: window.top, clash: false, with_part };
         self.say_to(now, to, way, word, todo)
     }
 
+    /// Answers a question; what does not fit of the set of released leases follows at once.
+    fn acknowledge(&mut self, now: Micros, to: usize, todo: &mut Vec<Do>) {
+        self.say(now, to, Word::Ack(true), todo);
+        let further = self.released.part_count().saturating_sub(1).min(PARTS_AFTER_ACK);
+        for _ in 0..further {
+            let Member { address, session, window, .. } = &self.members[to];
+            let way =
+                Way { at: *address, session: *session, heard: window.top, clash: false, with_part: true };
+            self.say_to(now, to, way, Word::Gossip(true), todo);
+        }
+    }
+
     fn say_to(&mut self, now: Micros, to: usize, way: Way, word: Word, todo: &mut Vec<Do>) -> bool {
         let Some(at) = way.at else { return false };
         if !self.out.take(now) {
@@ -514,10 +556,14 @@
         let member = &mut self.members[to];
         member.number += 1;
         member.sent[member.number as usize % SENT] = (member.number, now);
-        let (number, grants) = (member.number, member.lease.grants(now));
+        let (number, grants) = (member.number, self.ways[to].grants(now));
         let own = self.setup.address;
+        let (released, released_part, limiters) = match self.setup.encoding {
+            Encoding::Whole => (self.released.bits().to_vec(), None, 0),
+            Encoding::Parts { .. } => (Vec::new(), self.next_part(to, way.with_part), self.setup.size),
+        };
         let mut datagram = Datagram {
-            format: FORMAT,
+            format: self.setup.encoding.format(),
             fleet: self.setup.fleet.clone(),
             from: self.setup.me,
             incarnation: self.members[self.setup.me as usize].incarnation,
@@ -531,7 +577,9 @@
             version: self.setup.version,
             word: Some(word),
             news: Vec::new(),
-            released: self.released.bits().to_vec(),
+            released,
+            released_part,
+            limiters,
         };
         self.fill(to, way.clash, &mut datagram);
         self.counts.sent += 1;
@@ -540,6 +588,13 @@
         true
     }
 
+    /// The part of the set of released leases whose turn it is.
+    fn next_part(&mut self, to: usize, with_part: bool) -> Option<ReleasedPart> {
+        let part = self.released.part(self.members[to].parts_sent).filter(|_| with_part)?;
+        self.members[to].parts_sent += 1;
+        Some(part.clone())
+    }
+
     /// What the receiver must hear of itself comes first, then what is new, then the rest of the view in turn.
     fn fill(&mut self, to: usize, clash: bool, datagram: &mut Datagram) {
         let mut size = datagram.size();
@@ -568,7 +623,7 @@
             }
             size += more;
             datagram.news.push(news);
-            own.members[who].retell = own.members[who].retell.saturating_sub(1);
+            own.retell[who] = own.retell[who].saturating_sub(1);
             true
         };
         let Member { state, forgotten, .. } = self.members[to];
@@ -576,8 +631,8 @@
             add(self, to, datagram);
         }
         let mut fresh: Vec<_> = self.fresh.iter().copied().filter(|who| *who != to).collect();
-        fresh.retain(|who| self.members[*who].retell > 0 && self.members[*who].is_told());
-        fresh.sort_unstable_by_key(|who| std::cmp::Reverse(self.members[*who].retell));
+        fresh.retain(|who| self.retell[*who] > 0 && self.members[*who].is_told());
+        fresh.sort_unstable_by_key(|who| std::cmp::Reverse(self.retell[*who]));
         for who in &fresh {
             if !add(self, *who, datagram) {
                 return;
@@ -611,6 +666,7 @@
     }
 
     fn take(&mut self, now: Micros, datagram: Datagram, todo: &mut Vec<Do>) -> Result<(), Fault> {
+        let released = self.released_by(&datagram)?;
         let (from, me) = (datagram.from as usize, self.setup.me as usize);
         if from >= self.members.len() || from == me {
             return Err(Fault::Strange);
@@ -633,7 +689,8 @@
                 return Err(Fault::Flood);
             }
             let at = known.address.filter(|_| known.seed).or_else(|| datagram.address());
-            let way = Way { at, session: datagram.session, heard: datagram.number, clash: proven };
+            let (session, heard) = (datagram.session, datagram.number);
+            let way = Way { at, session, heard, clash: proven, with_part: true };
             self.say_to(now, from, way, Word::Ack(true), todo);
             return if proven { Ok(()) } else { Err(Fault::Stale) };
         }
@@ -651,7 +708,7 @@
         // One that was forgotten has to be told so.
         member.address = member.address.or_else(|| datagram.address());
         if let Some(bound) = member.sent_at(datagram.heard) {
-            member.lease.told(bound, datagram.grants, &datagram.released);
+            self.ways[from].told(bound, datagram.grants, released.as_ref());
         }
         if let Some(probe) = self.probe.as_mut().filter(|p| p.target == from) {
             probe.answered |= datagram.heard >= probe.number;
@@ -672,7 +729,7 @@
             }
         }
         match word {
-            Word::Ping(_) => _ = self.say(now, from, Word::Ack(true), todo),
+            Word::Ping(_) => self.acknowledge(now, from, todo),
             Word::Ask(target) => self.ask_for(now, from, target as usize, todo),
             Word::Vouch(target) => {
                 if let Some(probe) = self.probe.as_mut().filter(|p| p.target == target as usize && p.asked) {
@@ -691,6 +748,21 @@
         Ok(())
     }
 
+    /// What the sender says of the set of released leases, if it is of a fleet of this format and size.
+    fn released_by(&self, datagram: &Datagram) -> Result<Option<SaidPart>, Fault> {
+        let Setup { size, encoding, .. } = self.setup;
+        match encoding {
+            _ if datagram.format != encoding.format() => Err(Fault::Format),
+            Encoding::Whole => Ok(Some(SaidPart::whole(&datagram.released, size as usize))),
+            Encoding::Parts { .. } if datagram.limiters != size => Err(Fault::Fleet),
+            Encoding::Parts { .. } if !datagram.released.is_empty() => Err(Fault::Strange),
+            Encoding::Parts { window, .. } => match &datagram.released_part {
+                Some(part) => part.read(size, window).map(Some).ok_or(Fault::Strange),
+                None => Ok(None),
+            },
+        }
+    }
+
     fn ask_for(&mut self, now: Micros, asker: usize, target: usize, todo: &mut Vec<Do>) {
         if target >= self.members.len() || target == asker || target == self.setup.me as usize {
             return self.fault(Fault::Strange);
@@ -766,12 +838,15 @@
         if state == State::Suspect {
             self.suspects.push(who);
         }
-        let member = &mut self.members[who];
         if state.lives() != before.lives() {
-            self.released.changed(now, who, state.lives(), &mut member.lease);
+            self.living[who] = state.lives();
+            self.released.changed(now, who, state.lives(), &mut self.ways[who]);
         }
         if state != before {
-            member.since = now;
+            self.members[who].since = now;
+            if !state.lives() {
+                self.forget_at = self.forget_at.min(now + self.setup.forget);
+            }
             todo.push(Do::Changed(Change { who: who as u32, before, state, incarnation, by }));
         }
         self.retell(who);
@@ -783,6 +858,7 @@
             self.say(now, to, Word::Leave(true), todo);
         }
         self.members[self.setup.me as usize].state = State::Left;
+        self.living[self.setup.me as usize] = false;
         self.leaving = true;
     }
 
@@ -790,9 +866,12 @@
 
     /// What this limiter may count on now.
     pub fn standing(&self, now: Micros) -> Standing {
-        let ways: Vec<_> = self.members.iter().map(|m| &m.lease).collect();
-        let living: Vec<_> = self.members.iter().map(|m| m.state.lives()).collect();
-        Standing::new(now, (self.setup.me, self.setup.kept), &living, &ways, &self.released)
+        Standing::new(now, (self.setup.me, self.setup.kept), &self.living, &self.ways, &self.released)
+    }
+
+    /// Members held for living, this one among them.
+    pub fn living(&self) -> &[bool] {
+        &self.living
     }
 
     /// Every member.
--- a/src/limiter/attempts.rs
+++ b/src/limiter/attempts.rs
@@ -64,10 +64,10 @@
         // the agent reads.
         let streams = self.streams(number).filter(|(which, _)| *which == attempt);
         if streams.is_some() {
-            self.close(number);
+            self.close(now, number);
         }
         if let (Outcome::Ok, Some(value)) = (outcome, value) {
-            if let Some(open) = self.close(number) {
+            if let Some(open) = self.close(now, number) {
                 self.answer(open.client, Answer::Served(value));
             }
         }
--- a/src/limiter/mod.rs
+++ b/src/limiter/mod.rs
@@ -9,6 +9,7 @@
 pub mod bans;
 mod commands;
 mod deadlines;
+mod leases;
 mod messages;
 mod requests;
 mod timers;
@@ -20,11 +21,13 @@
 use crate::handover::message::{FinalReport, LearnedState};
 use crate::interface::*;
 use crate::log_throttle::LogThrottle;
+use crate::quota_lease::holder::Holder;
 use crate::Gateway;
 use attempts::Out;
 use bans::Bans;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use deadlines::Due;
+use leases::Leases;
 use requests::Open;
 use slog::{info, Logger};
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -60,6 +63,8 @@
     out: HashMap<AttemptId, Out>,
     counts: HashMap<u64, u64>,
     count_calls: u64,
+    /// None where units are not leased.
+    leases: Option<Leases>,
     timers: Timers<Due>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
@@ -102,6 +107,7 @@
             out: HashMap::new(),
             counts: HashMap::new(),
             count_calls: 0,
+            leases: None,
             timers: Timers::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -113,11 +119,18 @@
         }
     }
 
+    /// Has the units of requests leased by this holder.
+    pub fn with_leases(mut self, holder: Holder) -> Self {
+        self.leases = Some(Leases::new(self.clock.now(), holder, &self.gateway.cfg.plans));
+        self
+    }
+
     /// Runs until it is stopped and everything open is answered.
     pub fn run(mut self, inputs: Receiver<Input<E>>, commands: Receiver<Command>) -> FinalReport {
         // What has come by the end is still taken.
         while self.goes_on() || !(self.stopped || inputs.is_empty()) {
-            let input = match self.timers.next() {
+            let leases_wake = self.leases.as_ref().and_then(Leases::next_wake);
+            let input = match self.timers.next().into_iter().chain(leases_wake).min() {
                 Some(at) => inputs.recv_deadline(self.clock.moment(at)),
                 None => inputs.recv().map_err(|_| RecvTimeoutError::Disconnected),
             };
@@ -133,6 +146,7 @@
             while let Some(due) = self.timers.due(now) {
                 self.fall_due(now, due);
             }
+            self.send_reports(now);
         }
         self.gateway.unreported_units()
     }
@@ -163,7 +177,7 @@
             Input::Request(incoming) => self.admit(now, incoming),
             Input::Left(numbers) => {
                 for number in self.waiting_first(numbers) {
-                    if let Some(open) = self.close(number) {
+                    if let Some(open) = self.close(now, number) {
                         self.tell(now, Event::Gone { id: open.id });
                     }
                 }
@@ -183,6 +197,7 @@
                     self.tell(now, Event::Counted { name, total, outcome });
                 }
             }
+            Input::Allocator(event) => self.hear_allocator(now, event),
             Input::Fleet(standing) => self.tell(now, Event::Fleet(standing)),
             // Looked at already.
             Input::CommandWaits => {}
