--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -2,7 +2,7 @@
 
 use super::datagram::{version_text, Fault, Key, State};
 use super::parts::Standing;
-use super::view::{Do, Setup, View};
+use super::view::{Action, Setup, View};
 use crate::hush::Hush;
 use crate::interface::Micros;
 use crate::limiter::Clock;
@@ -122,7 +122,7 @@
             standing.living,
             rows.len(),
             standing.until.min(now + 1_000_000_000).saturating_sub(now) / 1_000,
-            view.doubt(),
+            view.local_health(),
         );
         Some(text)
     }
@@ -290,15 +290,15 @@
         self.carry_out(todo);
     }
 
-    fn carry_out(&self, todo: Vec<Do>) {
+    fn carry_out(&self, todo: Vec<Action>) {
         for todo in todo {
             match todo {
-                Do::Send(to, datagram) => {
+                Action::Send(to, datagram) => {
                     // What can't be sent is as lost as what the network loses.
                     let sealed = self.place.key.seal(&datagram);
                     _ = self.socket.as_ref().map(|socket| socket.send_to(&sealed, to));
                 }
-                Do::Changed(change) => {
+                Action::Changed(change) => {
                     // Suspicions come and go with every datagram that is lost.
                     let lives = change.state.lives() && change.before.lives();
                     let quiet = change.state == State::Suspect || lives;
--- a/src/fleet/parts.rs
+++ b/src/fleet/parts.rs
@@ -32,7 +32,7 @@
 
 /// What one limiter and one peer have said of leases.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub struct Way {
+pub struct PeerLease {
     /// The peer's lease has not been renewed since; none while it is.
     denied: Option<Micros>,
     /// It is not renewed before this time.
@@ -50,7 +50,7 @@
     bits: Vec<u8>,
 }
 
-impl Way {
+impl PeerLease {
     /// To a peer of which nothing is known; an earlier process of this limiter may have said anything.
     pub fn new(now: Micros, lease: Micros) -> Self {
         Self { denied: Some(now), regrant: now + longer(lease), ..Self::default() }
@@ -161,14 +161,12 @@
     bits: Vec<u8>,
     /// The same as it is carried in parts.
     parts: Vec<ReleasedPart>,
-    /// No lease that is not yet released can become so before this time.
-    scan_at: Micros,
 }
 
 impl Released {
     /// Nobody yet.
     pub fn new(lease: Micros, limiters: u32, encoding: Encoding) -> Self {
-        Self { lease, limiters, encoding, bits: Vec::new(), parts: Vec::new(), scan_at: 0 }
+        Self { lease, limiters, encoding, bits: Vec::new(), parts: Vec::new() }
     }
 
     /// The whole set.
@@ -194,18 +192,15 @@
         }
     }
 
-    /// Adds those whose lease was not renewed for longer than it lasts. Looks at every limiter only when one is due.
-    pub fn scan(&mut self, now: Micros, ways: &[Way]) {
-        if now < self.scan_at {
-            return;
-        }
-        self.scan_at = Micros::MAX;
-        let mut added = false;
-        for (who, way) in ways.iter().enumerate() {
-            let Some(since) = way.denied.filter(|_| !has(&self.bits, who)) else { continue };
+    /// Adds those whose lease was not renewed for longer than it lasts. Returns when the next one is due, if nobody
+    /// else ceases to live.
+    pub fn scan(&mut self, now: Micros, leases: &[PeerLease]) -> Micros {
+        let (mut next, mut added) = (Micros::MAX, false);
+        for (who, lease) in leases.iter().enumerate() {
+            let Some(since) = lease.denied.filter(|_| !has(&self.bits, who)) else { continue };
             let due = since + longer(self.lease);
             if now < due {
-                self.scan_at = self.scan_at.min(due);
+                next = next.min(due);
             } else {
                 insert(&mut self.bits, who);
                 added = true;
@@ -214,20 +209,20 @@
         if added {
             self.encode();
         }
+        next
     }
 
     /// A peer has come to life, or has ceased to live, as this limiter sees it.
-    pub fn changed(&mut self, now: Micros, who: usize, lives: bool, way: &mut Way) {
+    pub fn changed(&mut self, now: Micros, who: usize, lives: bool, lease: &mut PeerLease) {
         if !lives {
-            let since = *way.denied.get_or_insert(now);
-            self.scan_at = self.scan_at.min(since + longer(self.lease));
+            lease.denied = lease.denied.or(Some(now));
             return;
         }
-        way.denied = None;
+        lease.denied = None;
         if has(&self.bits, who) {
             remove(&mut self.bits, who);
             self.encode();
-            way.regrant = way.regrant.max(now + longer(self.lease));
+            lease.regrant = lease.regrant.max(now + longer(self.lease));
         }
     }
 }
@@ -262,7 +257,7 @@
         now: Micros,
         (me, kept): (u32, f64),
         living: &[bool],
-        ways: &[Way],
+        ways: &[PeerLease],
         released: &Released,
     ) -> Self {
         let (size, lease) = (ways.len(), released.lease);
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -4,7 +4,7 @@
 use mossrill::fleet::datagram::Datagram;
 use mossrill::fleet::parts::Standing;
 use mossrill::fleet::released::Encoding;
-use mossrill::fleet::view::{Change, Do, Setup, View};
+use mossrill::fleet::view::{Action, Change, Setup, View};
 use mossrill::interface::Micros;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -258,11 +258,11 @@
         self.now = end;
     }
 
-    fn carry_out(&mut self, who: usize, todo: Vec<Do>) {
+    fn carry_out(&mut self, who: usize, todo: Vec<Action>) {
         for todo in todo {
             match todo {
-                Do::Changed(change) => self.changes.push((self.now, who, change)),
-                Do::Send(to, datagram) => {
+                Action::Changed(change) => self.changes.push((self.now, who, change)),
+                Action::Send(to, datagram) => {
                     self.sent[who] += 1;
                     self.bytes[who] += datagram.size() as u64;
                     self.longest = self.longest.max(datagram.size());
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -1,7 +1,7 @@
 //! Every reachable state of the leases of three limiters, one of which is cut off: whatever the others believe of it at
 //! any moment, whatever is said, heard late or lost, and whenever a core looks, nobody shares out what is still held.
 
-use mossrill::fleet::parts::{Released, Standing, Way};
+use mossrill::fleet::parts::{PeerLease, Released, Standing};
 use mossrill::fleet::released::{Encoding, SaidPart};
 use stateright::{Checker, Model, Property};
 
@@ -27,7 +27,7 @@
     /// What numbers 0 and 1 believe of number 2.
     lives: [bool; 2],
     /// Ways of each limiter to each.
-    ways: [[Way; 3]; 3],
+    ways: [[PeerLease; 3]; 3],
     released: [Released; 3],
     /// What the core of number 0 was told last: its lease, whether it shares out what number 2 held, and to when. The
     /// core of number 2 has a lease as soon as it is renewed, and may use it to its end.
@@ -88,10 +88,10 @@
 
     fn init_states(&self) -> Vec<State> {
         // Everybody has held everybody for living for long, and has just said so.
-        let (mut way, mut released) = (Way::new(0, 0), nobody_released());
+        let (mut way, mut released) = (PeerLease::new(0, 0), nobody_released());
         released.changed(0, 0, true, &mut way);
         way.told(LEASE, true, None);
-        let own = Way::default();
+        let own = PeerLease::default();
         let ways = std::array::from_fn(|who| {
             std::array::from_fn(|other| if who == other { own.clone() } else { way.clone() })
         });
@@ -133,10 +133,10 @@
                 let (ways, released) = (&mut state.ways[who], &mut state.released[who]);
                 released.changed(now, CUT, lives, &mut ways[CUT]);
                 match self.0 {
-                    Without::Waiting if !lives => released.scan(now + 10 * LEASE, &ways[..]),
+                    Without::Waiting if !lives => _ = released.scan(now + 10 * LEASE, &ways[..]),
                     // As if nothing had been said of it.
                     Without::WaitingAgain if lives => {
-                        ways[CUT] = Way::new(0, 0);
+                        ways[CUT] = PeerLease::new(0, 0);
                         nobody_released().changed(now, CUT, true, &mut ways[CUT]);
                     }
                     _ => {}
@@ -197,9 +197,9 @@
 
 #[test]
 fn a_lease_needs_more_than_half_and_lasts_from_what_was_surely_heard() {
-    let mut ways = vec![Way::default(), Way::new(0, SHORT), Way::new(0, SHORT)];
+    let mut ways = vec![PeerLease::default(), PeerLease::new(0, SHORT), PeerLease::new(0, SHORT)];
     let released = nobody();
-    let until = |ways: &[Way]| Standing::new(100, (0, 0.5), &[true; 3], ways, &released).until;
+    let until = |ways: &[PeerLease]| Standing::new(100, (0, 0.5), &[true; 3], ways, &released).until;
     assert_eq!(until(&ways), 0);
     ways[1].told(90, true, whole(&[]).as_ref());
     assert_eq!(until(&ways), 100);
@@ -214,7 +214,7 @@
 #[test]
 fn what_a_dead_one_leaves_is_shared_once_more_than_half_have_waited_a_lease() {
     let mut released = nobody();
-    let mut ways = vec![Way::default(), Way::new(0, SHORT), Way::new(0, SHORT)];
+    let mut ways = vec![PeerLease::default(), PeerLease::new(0, SHORT), PeerLease::new(0, SHORT)];
     // Number 1 lives, number 2 dies at 20.
     released.changed(1, 1, true, &mut ways[1]);
     released.changed(1, 2, true, &mut ways[2]);
@@ -223,7 +223,7 @@
     assert!(released.bits().is_empty());
     released.scan(31, &ways);
     assert_eq!(released.bits(), [4]);
-    let standing = |now, ways: &[Way], released: &Released| {
+    let standing = |now, ways: &[PeerLease], released: &Released| {
         Standing::new(now, (0, 0.5), &[true, true, false], ways, released)
     };
     ways[1].told(30, true, whole(&[]).as_ref());
@@ -252,14 +252,14 @@
     const ALIVE: usize = 9;
     let encoding = Encoding::Parts { window: 8, most_run_bytes: 0 };
     let mut released = Released::new(SHORT, SIZE as u32, encoding);
-    let mut ways = vec![Way::new(0, SHORT); SIZE];
-    ways[0] = Way::default();
+    let mut ways = vec![PeerLease::new(0, SHORT); SIZE];
+    ways[0] = PeerLease::default();
     (1..ALIVE).for_each(|who| released.changed(0, who, true, &mut ways[who]));
     released.scan(11, &ways);
     let parts: Vec<_> = (0..2).map(|turn| released.part(turn).expect("a part").clone()).collect();
     assert_eq!((parts[0].first, parts[1].first), (8, 16));
     let said = |turn: usize| parts[turn].read(SIZE as u32, 8);
-    let standing = |now, ways: &[Way]| {
+    let standing = |now, ways: &[PeerLease]| {
         let living: Vec<bool> = (0..SIZE).map(|who| who < ALIVE).collect();
         Standing::new(now, (0, 0.5), &living, ways, &released)
     };
@@ -295,7 +295,7 @@
     for windows in 1..=6 {
         let size = 8 * windows;
         let mut released = Released::new(SHORT, size as u32, encoding);
-        released.scan(11, &vec![Way::new(0, SHORT); size]);
+        released.scan(11, &vec![PeerLease::new(0, SHORT); size]);
         let firsts = |turns: &mut dyn Iterator<Item = usize>| {
             let mut firsts: Vec<_> = turns.map(|turn| released.part(turn).expect("a part").first).collect();
             firsts.sort_unstable();
--- a/tests/view.rs
+++ b/tests/view.rs
@@ -5,7 +5,7 @@
 
 use mossrill::fleet::datagram::{Datagram, Fault, Key, State, Word, FORMAT, PARTS_FORMAT, TAG};
 use mossrill::fleet::released::{Encoding, ReleasedPart};
-use mossrill::fleet::view::{Do, View};
+use mossrill::fleet::view::{Action, View};
 use net::*;
 use proptest::prelude::*;
 
@@ -186,11 +186,11 @@
 }
 
 /// The next datagram of a view to the first limiter.
-fn capture(view: &mut View, now: u64, todo: &mut Vec<Do>) -> Datagram {
+fn capture(view: &mut View, now: u64, todo: &mut Vec<Action>) -> Datagram {
     for step in 0..200 {
         view.wake(now + step * 50_000, todo);
         let to_first = todo.iter().find_map(|todo| match todo {
-            Do::Send(to, datagram) if *to == address(0) && datagram.to != 0 => Some(datagram.clone()),
+            Action::Send(to, datagram) if *to == address(0) && datagram.to != 0 => Some(datagram.clone()),
             _ => None,
         });
         if let Some(datagram) = to_first {
