--- a/benches/capacity/counter.rs
+++ b/benches/capacity/counter.rs
@@ -171,8 +171,11 @@
 }
 
 /// What some limiters of a fleet send to the counter in so many seconds.
+///
+/// Where tenants press against their quotas all limiters are simulated: the model of the others refuses no claim.
 pub fn simulate(shape: Shape, sampled: u64, seconds: u64, seed: u64) -> Sent {
     let traffic = Traffic::new(shape, seed);
+    let sampled = if shape.headroom < 1.0 { shape.limiters } else { sampled };
     Simulation::new(&traffic, sampled, seed).play(seconds)
 }
 
