--- a/src/quota_lease/server.rs
+++ b/src/quota_lease/server.rs
@@ -10,9 +10,9 @@
 use super::message::{Grant, MessageError, Report, Verdict};
 use crate::fleet::link::Fleet;
 use crate::fleet::parts::Standing;
-use crate::hush::Hush;
 use crate::interface::Micros;
 use crate::limiter::Clock;
+use crate::log_throttle::LogThrottle;
 use crate::net::spawn;
 use crossbeam_channel::{bounded, unbounded, Receiver, RecvTimeoutError, Sender};
 use prost::Message;
@@ -58,7 +58,7 @@
             limit: config.connections,
             open: AtomicUsize::new(0),
             closed: ClosedConnections::default(),
-            closed_log: Hush::default(),
+            closed_log: LogThrottle::default(),
             log: log.new(o!("part" => "connections")),
         });
         let owner = Owner {
@@ -281,7 +281,7 @@
     limit: usize,
     open: AtomicUsize,
     closed: ClosedConnections,
-    closed_log: Hush,
+    closed_log: LogThrottle,
     log: Logger,
 }
 
@@ -347,7 +347,7 @@
     }
 
     fn log_closed(&self, from: Option<SocketAddr>, fault: &str) {
-        if let Some(more) = self.closed_log.due() {
+        if let Some(more) = self.closed_log.permit() {
             warn!(self.log, "connection closed"; "from" => ?from, "fault" => fault, "unlogged" => more);
         }
     }
