--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -253,6 +253,7 @@
         Self::spawn_with(name, file, command).listening()
     }
 
+    /// Waits until it listens, and where.
     fn listening(mut self) -> Self {
         let line = self.logged("listening");
         let address = line.split("at: ").nth(1).and_then(|at| at.split(',').next()?.trim().parse().ok());
@@ -268,9 +269,20 @@
         assert!(!program.child.wait().expect("an end").success());
     }
 
+    /// One that the system gives no more descriptors than its configuration says.
+    pub fn start_bounded(name: &str, settings: &Value) -> Self {
+        let mut shell = Command::new("sh");
+        let most = settings["limits"]["sockets"].to_string();
+        shell.args(["-c", "ulimit -n \"$1\" && exec \"$0\"", env!("CARGO_BIN_EXE_mossrill"), &most]);
+        Self::spawn_by(shell, name, settings, None).listening()
+    }
+
     fn spawn(name: &str, settings: &Value, folder: Option<&Path>) -> Self {
+        Self::spawn_by(Command::new(env!("CARGO_BIN_EXE_mossrill")), name, settings, folder)
+    }
+
+    fn spawn_by(mut command: Command, name: &str, settings: &Value, folder: Option<&Path>) -> Self {
         Self::spawn_with(name, settings, |file| {
-            let mut command = Command::new(env!("CARGO_BIN_EXE_mossrill"));
             command.env("EDGE_CONFIG", file).env_remove("TMPDIR").envs(folder.map(|at| ("TMPDIR", at)));
             command
         })
@@ -315,6 +327,11 @@
         (ticks(11) + ticks(12), memory.expect("a number"))
     }
 
+    /// How many descriptors it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("a process").count()
+    }
+
     /// How many threads it has.
     pub fn threads(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("a process").count()
