--- a/src/quota_lease/server.rs
+++ b/src/quota_lease/server.rs
@@ -16,6 +16,7 @@
 use crate::net::spawn;
 use crossbeam_channel::{bounded, unbounded, Receiver, RecvTimeoutError, Sender};
 use prost::Message;
+use rustix::process::{getrlimit, Resource};
 use slog::{info, o, warn, Logger};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -25,6 +26,8 @@
 
 /// The owner of the allocator is waited for so long when the process ends.
 const LAST_ANSWERS: Duration = Duration::from_secs(1);
+/// File descriptors that are not connections of limiters, generously.
+const OTHER_DESCRIPTORS: usize = 32;
 /// After an error of the listener, as when there are no file descriptors left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -48,6 +51,7 @@
 impl Server {
     /// Starts all threads.
     pub fn start(config: AllocatorConfig, log: &Logger) -> io::Result<Self> {
+        warn_of_few_descriptors(&config, log);
         let clock = Clock::start();
         let (queue, inputs) = unbounded();
         let listener = TcpListener::bind(config.listen)?;
@@ -90,6 +94,14 @@
     }
 }
 
+/// Each connection takes a file descriptor.
+fn warn_of_few_descriptors(config: &AllocatorConfig, log: &Logger) {
+    let wanted = (config.connections + OTHER_DESCRIPTORS) as u64;
+    if let Some(allowed) = getrlimit(Resource::Nofile).current.filter(|allowed| *allowed < wanted) {
+        warn!(log, "fewer file descriptors than connections"; "allowed" => allowed, "wanted" => wanted);
+    }
+}
+
 fn new_allocator(config: &AllocatorConfig, clock: Clock) -> Allocator {
     let settings = AllocatorSettings {
         limiters: config.limiters,
--- a/tests/quota_lease_processes.rs
+++ b/tests/quota_lease_processes.rs
@@ -1,5 +1,5 @@
 //! Quota leases with real processes on loopback: three allocators, three limiters with an OpenAPI front, and stand-ins for
-//! the upstream servers that keep a record of what reached them.
+//! the upstream servers that keep a record of what reached them; and a crowd of limiters at one allocator.
 
 mod peers;
 
@@ -12,6 +12,7 @@
 use std::collections::HashSet;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::Path;
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -114,14 +115,16 @@
 
     fn start_allocator(&self, story: &str, number: u32) -> Program {
         let name = format!("{story}-allocator-{number}");
-        Program::start_with(&name, &self.allocator_file(number), |file| {
-            let mut command = Command::new(env!("CARGO_BIN_EXE_mossrill-allocator"));
-            command.arg(file);
-            command
-        })
+        Program::start_with(&name, &self.allocator_file(number), allocator_command)
     }
 }
 
+fn allocator_command(file: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_mossrill-allocator"));
+    command.arg(file);
+    command
+}
+
 /// All processes of a story, and the load on them.
 struct Story {
     places: Places,
@@ -136,11 +139,12 @@
 impl Story {
     /// Starts everything, and waits until all allocators hold their leases.
     fn start(name: &'static str) -> Self {
-        let places = Places::new();
+        let (places, started) = (Places::new(), Instant::now());
         let mut allocators: Vec<_> = (0..ALLOCATORS).map(|n| places.start_allocator(name, n)).collect();
         for allocator in &mut allocators {
             until_logged(allocator, "held: true", |_| true);
         }
+        println!("{name}: all hold their leases after {:.1} s", started.elapsed().as_secs_f64());
         let record = Arc::new(Record::default());
         let upstreams = [upstream(&record), upstream(&record)];
         let began = Instant::now();
@@ -223,7 +227,7 @@
 
 /// The value of a key in a log line.
 fn figure(line: &str, key: &str) -> u64 {
-    let value = line.split(&format!("{key}: ")).nth(1).unwrap_or_else(|| panic!("no {key} in {line}"));
+    let value = line.split(&format!(", {key}: ")).nth(1).unwrap_or_else(|| panic!("no {key} in {line}"));
     let end = value.find(|c: char| !c.is_ascii_digit()).unwrap_or(value.len());
     value[..end].parse().expect("a number")
 }
@@ -367,6 +371,57 @@
     story.ends();
 }
 
+/// Connections of limiters to one allocator, reports on each, and accounts in each report.
+const CROWD: u32 = 400;
+const CROWD_REPORTS: u64 = 5;
+const CROWD_ACCOUNTS: u32 = 50;
+/// Resident memory that an allocator may take with such a crowd, in kB: each connection has a thread.
+const CROWD_MEMORY: u64 = 128 * 1_024;
+
+#[test]
+fn a_crowd_of_limiters_is_answered_by_one_allocator() {
+    let places = Places::new();
+    let mut file = places.allocator_file(0);
+    // Alone it has a majority, and holds its lease at once.
+    file["allocators"] = json!(1);
+    file["limiters"] = json!(CROWD);
+    file["fleet"]["seeds"] = json!([file["fleet"]["seeds"][0]]);
+    let mut allocator = Program::start_with("crowd-allocator-0", &file, allocator_command);
+    until_logged(&mut allocator, "held: true", |_| true);
+    let timeouts = Timeouts { idle: PATIENCE, frame: PATIENCE };
+    let connect = |_| TcpStream::connect(allocator.at).expect("a connection");
+    let limiters: Vec<TcpStream> = (0..CROWD).map(connect).collect();
+    let limits = PlanLimits { rate: 1_000_000, burst: 1_000_000 };
+    for sequence in 1..=CROWD_REPORTS {
+        for (number, stream) in limiters.iter().enumerate() {
+            let limiter = number as u32;
+            let mut report =
+                Report { format: FORMAT, limiter, incarnation: 1, sequence, ..Report::default() };
+            for account in 0..CROWD_ACCOUNTS {
+                let account = AccountKey(u64::from((limiter * 7 + account) % 2_000));
+                report.push(&ReportEntry { expected: 1_000, ..ReportEntry::new(account, limits) });
+            }
+            frame::write(stream, &report.encode_to_vec(), PATIENCE).expect("written");
+        }
+        for stream in &limiters {
+            let grant = Grant::read(&frame::read(stream, timeouts).expect("a frame")).expect("an answer");
+            assert_eq!((grant.sequence, grant.entries, grant.serving), (sequence, CROWD_ACCOUNTS, true));
+        }
+    }
+    let (ticks, memory) = allocator.used();
+    let reports = u64::from(CROWD) * CROWD_REPORTS;
+    println!(
+        "crowd: {reports} reports of {CROWD_ACCOUNTS} accounts, {ticks} hundredths of a second, {memory} kB"
+    );
+    assert!(memory < CROWD_MEMORY, "{memory} kB");
+    let line = until_logged(&mut allocator, "figures", |line| figure(line, "reports") >= reports);
+    assert_eq!(figure(&line, "entries"), reports * u64::from(CROWD_ACCOUNTS));
+    assert_eq!(figure(&line, "connections"), u64::from(CROWD));
+    drop(limiters);
+    until_logged(&mut allocator, "figures", |line| figure(line, "connections") == 0);
+    allocator.ends();
+}
+
 /// Sends these bytes and waits for the end of the connection.
 fn is_closed_after(at: SocketAddr, bytes: &[u8]) {
     let mut stream = TcpStream::connect(at).expect("a connection");
