--- a/src/limiter/leases.rs
+++ b/src/limiter/leases.rs
@@ -18,9 +18,9 @@
 const ROUNDING: f64 = 1e-6;
 
 /// Says of a request whether its units are leased.
-struct Leased {
-    id: RequestId,
-    granted: bool,
+pub(crate) struct Leased {
+    pub(crate) id: RequestId,
+    pub(crate) granted: bool,
 }
 
 /// The units of one request.
@@ -30,7 +30,7 @@
 }
 
 /// The holder of leases, and what it said of the requests that are open.
-pub(super) struct Leases {
+pub(crate) struct Leases {
     holder: Holder,
     plans: Vec<PlanLimits>,
     requests: HashMap<RequestId, Units>,
@@ -39,7 +39,7 @@
 }
 
 impl Leases {
-    pub(super) fn new(now: Micros, holder: Holder, plans: &[Plan]) -> Self {
+    pub(crate) fn new(now: Micros, holder: Holder, plans: &[Plan]) -> Self {
         let limits = |plan: &Plan| PlanLimits { rate: milli(plan.rate), burst: milli(plan.burst) };
         let plans = plans.iter().map(limits).collect();
         let next_figures = now + FIGURES_INTERVAL;
@@ -47,7 +47,7 @@
     }
 
     /// Takes the units of a request. None if an allocator is asked for them: the answer follows.
-    fn take(
+    pub(crate) fn take(
         &mut self,
         now: Micros,
         id: RequestId,
@@ -72,7 +72,7 @@
     }
 
     /// A request has ended. If it was never sent its units go back, as soon as they come if it still waits for them.
-    pub(super) fn close(&mut self, now: Micros, id: &RequestId, sent: bool) {
+    pub(crate) fn close(&mut self, now: Micros, id: &RequestId, sent: bool) {
         match self.requests.remove(id) {
             Some(Units::Taken(receipt)) if !sent => self.holder.put_back(now, receipt),
             Some(Units::Waiting(ticket)) => _ = self.waiting.remove(&ticket),
@@ -81,7 +81,7 @@
     }
 
     /// Takes what a connection to an allocator tells.
-    fn hear(&mut self, now: Micros, event: LinkEvent) -> Vec<Leased> {
+    pub(crate) fn hear(&mut self, now: Micros, event: LinkEvent) -> Vec<Leased> {
         let answers = match event {
             LinkEvent::Answer(grant) => self.holder.on_grant(now, &grant).unwrap_or_default(),
             LinkEvent::Unreadable { reason, .. } => {
@@ -94,23 +94,23 @@
     }
 
     /// Reports that are to be sent now, each with the number of its allocator, and answers that need not be waited for.
-    fn poll(&mut self, now: Micros) -> (Vec<(u32, Report)>, Vec<Leased>) {
+    pub(crate) fn poll(&mut self, now: Micros) -> (Vec<(u32, Report)>, Vec<Leased>) {
         let poll = self.holder.poll(now);
         (poll.reports, self.answered(now, poll.answers))
     }
 
     /// When there is something to report at the earliest; none if nothing is expected.
-    pub(super) fn next_wake(&self) -> Option<Micros> {
+    pub(crate) fn next_wake(&self) -> Option<Micros> {
         Some(self.holder.next_wake()).filter(|at| *at < Micros::MAX)
     }
 
     /// Is it time for [`Self::poll`]?
-    fn is_due(&self, now: Micros) -> bool {
+    pub(crate) fn is_due(&self, now: Micros) -> bool {
         self.holder.next_wake() <= now
     }
 
     /// Figures since the start, and answers not taken, when it is time to log them.
-    fn figures_due(&mut self, now: Micros) -> Option<(HolderFigures, Dropped)> {
+    pub(crate) fn figures_due(&mut self, now: Micros) -> Option<(HolderFigures, Dropped)> {
         if now < self.next_figures {
             return None;
         }
@@ -143,18 +143,18 @@
 }
 
 impl<E: Edges> Core<E> {
-    /// Takes the units of a request that the module has admitted.
+    /// Asks for the units of an open request; where they are at hand the module is told at once.
     pub(super) fn lease(
         &mut self,
         now: Micros,
         id: RequestId,
         customer: &CustomerId,
-        plan: (usize, u32),
+        (plan, spread): (usize, u32),
         units: f64,
     ) {
         let open = self.open.contains_key(&number(&id));
         let Some(leases) = self.leases.as_mut().filter(|_| open) else { return };
-        if let Some(Leased { id, granted }) = leases.take(now, id, customer, plan, units) {
+        if let Some(Leased { id, granted }) = leases.take(now, id, customer, (plan, spread), units) {
             self.events.push_back(Event::Leased { id, granted });
         }
     }
@@ -162,7 +162,7 @@
     /// Takes what a connection to an allocator tells.
     pub(super) fn hear_allocator(&mut self, now: Micros, event: LinkEvent) {
         let answers = self.leases.as_mut().map(|leases| leases.hear(now, event)).unwrap_or_default();
-        self.tell_leased(now, answers);
+        self.leased(now, answers);
     }
 
     /// Sends what the holder of leases reports now, and takes the answers that it does not wait for any longer.
@@ -176,10 +176,10 @@
         }
         let (reports, answers) = leases.poll(now);
         reports.into_iter().for_each(|(allocator, report)| self.edges.report(allocator, report));
-        self.tell_leased(now, answers);
+        self.leased(now, answers);
     }
 
-    fn tell_leased(&mut self, now: Micros, answers: Vec<Leased>) {
+    fn leased(&mut self, now: Micros, answers: Vec<Leased>) {
         for Leased { id, granted } in answers {
             self.tell(now, Event::Leased { id, granted });
         }
