--- a/lab/src/audit.rs
+++ b/lab/src/audit.rs
@@ -15,6 +15,8 @@
 /// The sums of all tenants.
 #[derive(Default)]
 pub struct QuotaAudit {
+    /// Seconds at the plan's rate that buckets hold beyond the burst.
+    slack_s: f64,
     buckets: HashMap<usize, Bucket>,
     beyond: HashMap<usize, f64>,
     sent: f64,
@@ -36,12 +38,23 @@
 }
 
 impl QuotaAudit {
+    /// An audit against `rate * (t + slack_s) + burst`.
+    pub fn with_slack(slack_s: f64) -> Self {
+        Self { slack_s, ..Self::default() }
+    }
+
+    /// Units sent on so far, and those of them beyond.
+    pub fn totals(&self) -> (f64, f64) {
+        (self.sent, self.beyond.values().fold(0.0, |sum, units| sum + units))
+    }
+
     /// Takes units that were sent on. Times are in µs and must not go back for a tenant.
     pub fn sent(&mut self, at: u64, tenant: usize, units: f64, plan: Plan) {
-        let bucket = self.buckets.entry(tenant).or_insert(Bucket { level: plan.burst, filled: at });
+        let whole = plan.burst + plan.rate * self.slack_s;
+        let bucket = self.buckets.entry(tenant).or_insert(Bucket { level: whole, filled: at });
         let span = at.saturating_sub(bucket.filled) as f64 / SECOND;
         bucket.filled = at.max(bucket.filled);
-        bucket.level = (bucket.level + plan.rate * span).min(plan.burst) - units;
+        bucket.level = (bucket.level + plan.rate * span).min(whole) - units;
         self.sent += units;
         if bucket.level < 0.0 {
             *self.beyond.entry(tenant).or_default() -= bucket.level;
@@ -51,7 +64,7 @@
 
     /// What was found.
     pub fn result(&self, population: &Population) -> AuditResult {
-        let beyond = self.beyond.values().fold(0.0, |sum, units| sum + units);
+        let (_, beyond) = self.totals();
         let in_bursts = |(tenant, units): (&usize, &f64)| units / population.plan(*tenant).burst;
         AuditResult {
             sent_units: self.sent,
--- a/lab/src/gateway_host.rs
+++ b/lab/src/gateway_host.rs
@@ -37,6 +37,8 @@
     pub tenant: usize,
     /// How many.
     pub units: f64,
+    /// Time for which it waited for the answer of a call; none if it did not.
+    pub waited: Option<Micros>,
 }
 
 /// What came of one event.
@@ -46,6 +48,8 @@
     pub calls: Vec<CounterCall>,
     /// Requests sent on.
     pub sent: Vec<Sent>,
+    /// Requests refused: the time for which each waited for the answer of a call.
+    pub refused: Vec<Option<Micros>>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -58,6 +62,7 @@
 struct Open {
     tenant: usize,
     units: f64,
+    arrived: Micros,
     /// Servers of its attempts.
     attempts: Vec<ServerId>,
 }
@@ -150,7 +155,7 @@
         self.requests += 1;
         self.counts.requests += 1;
         let number = self.requests;
-        self.open.insert(number, Open { tenant, units, attempts: Vec::new() });
+        self.open.insert(number, Open { tenant, units, arrived: now, attempts: Vec::new() });
         let request = Request {
             id: RequestId(number.to_string().into()),
             class: 0,
@@ -216,7 +221,7 @@
     fn carry_out(&mut self, now: Micros, action: Action, cause: Cause, effects: &mut Effects) {
         match action {
             Action::Send { id, server, .. } => self.send(now, &id, server, cause, effects),
-            Action::Refuse { id, .. } | Action::Fail { id } => self.refuse(&id, cause),
+            Action::Refuse { id, .. } | Action::Fail { id } => self.refuse(now, &id, cause, effects),
             Action::Timer { after, token } => self.at(now + after, Due::Timer(token)),
             Action::Count { name, by, ttl } => self.call(now, CounterCall { name, by, ttl }, effects),
             Action::Cancel { .. } | Action::Probe { .. } | Action::Tell { .. } | Action::Watch => {}
@@ -228,18 +233,20 @@
         let attempt = open.attempts.len();
         open.attempts.push(server);
         if attempt == 0 {
-            effects.sent.push(Sent { tenant: open.tenant, units: open.units });
+            let waited = (cause == Cause::CounterAnswer).then(|| now - open.arrived);
+            effects.sent.push(Sent { tenant: open.tenant, units: open.units, waited });
             self.counts.sent += 1;
-            self.counts.waited += u64::from(cause == Cause::CounterAnswer);
+            self.counts.waited += u64::from(waited.is_some());
         }
         self.at(now + ANSWER_TIME, Due::Answer { request: number, attempt });
     }
 
-    fn refuse(&mut self, id: &RequestId, cause: Cause) {
-        if number(id).and_then(|number| self.open.remove(&number)).is_some() {
-            self.counts.refused += 1;
-            self.counts.waited += u64::from(cause == Cause::CounterAnswer);
-        }
+    fn refuse(&mut self, now: Micros, id: &RequestId, cause: Cause, effects: &mut Effects) {
+        let Some(open) = number(id).and_then(|number| self.open.remove(&number)) else { return };
+        let waited = (cause == Cause::CounterAnswer).then(|| now - open.arrived);
+        effects.refused.push(waited);
+        self.counts.refused += 1;
+        self.counts.waited += u64::from(waited.is_some());
     }
 
     fn call(&mut self, now: Micros, call: CounterCall, effects: &mut Effects) {
--- a/lab/src/hollow.rs
+++ b/lab/src/hollow.rs
@@ -11,7 +11,7 @@
 use crossbeam_channel::{bounded, unbounded, Receiver, RecvTimeoutError, Sender};
 use mossrill::config::NodeNews;
 use mossrill::interface::{Outcome, Readiness};
-use mossrill::net::count_lines::{Addition, CountSpeech};
+use mossrill::net::count_lines::{Addition, CounterProtocol};
 use mossrill::net::node_list;
 use mossrill::net::quota_counter::QuotaCounter;
 use rand::rngs::StdRng;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -34,6 +34,9 @@
         /// One seed in place of the scenario's.
         #[arg(long)]
         seed: Option<u64>,
+        /// Puts a value in place of the scenario's, as `traffic.spread=32`.
+        #[arg(long = "set", value_name = "KEY=VALUE")]
+        overrides: Vec<String>,
         /// The limiter that real processes run.
         #[arg(long, default_value = "target/release/mossrill")]
         limiter: PathBuf,
@@ -60,15 +63,15 @@
 
 fn work(command: Command) -> Result<(), String> {
     match command {
-        Command::Run { scenario, json, predictions, seed, limiter } => {
-            let scenario = load(&scenario)?;
+        Command::Run { scenario, json, predictions, seed, overrides, limiter } => {
+            let scenario = load(&scenario, &overrides)?;
             let predictions = predictions.as_deref().map(Predictions::load).transpose()?.unwrap_or_default();
             let seeds = seed.map_or_else(|| scenario.seeds.clone(), |seed| vec![seed]);
             let run = Run { scenario, seeds, predictions, limiter };
             play(&run, json.as_deref())
         }
         Command::Check { scenarios } => scenarios.iter().try_for_each(|path| {
-            let scenario = load(path)?;
+            let scenario = load(path, &[])?;
             let (processes, memory) = (scenario.processes(), scenario.memory_estimate() >> 20);
             println!("{}: good; {processes} processes and {memory} MB at most", path.display());
             Ok(())
@@ -77,8 +80,8 @@
     }
 }
 
-fn load(path: &Path) -> Result<Scenario, String> {
-    scenario::load(path).map_err(|fault| fault.to_string())
+fn load(path: &Path, overrides: &[String]) -> Result<Scenario, String> {
+    scenario::load_with(path, overrides).map_err(|fault| fault.to_string())
 }
 
 struct Run {
--- a/lab/src/real_play.rs
+++ b/lab/src/real_play.rs
@@ -11,6 +11,8 @@
 use crate::scenario::{Event, Real, Scenario};
 use crate::summary::Summary;
 use hdrhistogram::Histogram;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use rustix::process::Signal;
 use serde::Serialize;
 use std::net::{Ipv4Addr, TcpListener};
@@ -22,6 +24,11 @@
 const PATIENCE: Duration = Duration::from_secs(30);
 /// A configuration is in force by then, or counts as missing.
 const CONFIGURATION_LIMIT: Duration = Duration::from_secs(30);
+/// Ports of limiters, and how many are tried.
+const PORTS: std::ops::Range<u16> = 12_000..30_000;
+const PORT_TRIES: usize = 1_000;
+/// A limiter is started so often, on other ports each time.
+const START_TRIES: usize = 5;
 const POLL: Duration = Duration::from_millis(20);
 /// Of a hundred requests one may be written so late before the generator counts as behind.
 const LAG_LIMIT_MS: f64 = 20.0;
@@ -167,10 +174,22 @@
     steps
 }
 
-/// A port that nobody has now.
-fn free_port() -> Result<u16, String> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(|fault| fault.to_string())?;
-    Ok(listener.local_addr().map_err(|fault| fault.to_string())?.port())
+/// Two ports that nobody has now, below those that the system gives to outgoing connections.
+fn free_ports(rng: &mut StdRng) -> Result<(u16, u16), String> {
+    let mut free = Vec::new();
+    for _ in 0..PORT_TRIES {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, rng.random_range(PORTS)));
+        // Held while the other one is looked for.
+        free.extend(listener);
+        if let [first, second] = &free[..] {
+            let port = |listener: &TcpListener| listener.local_addr().map(|at| at.port());
+            return Ok((
+                port(first).map_err(|fault| fault.to_string())?,
+                port(second).map_err(|fault| fault.to_string())?,
+            ));
+        }
+    }
+    Err("no free ports".into())
 }
 
 fn ports(child: &Child) -> Result<Vec<u16>, String> {
@@ -213,15 +232,37 @@
             events: Vec::new(),
         };
         play.files(real.limiters).write_description()?;
+        // Other runs on this machine look for ports too.
+        let mut rng = StdRng::seed_from_u64(u64::from(std::process::id()));
         for number in 0..real.limiters {
             let file = play.folder.join(format!("limiter-{number}.json"));
-            let place = Place { number, port: free_port()?, control: free_port()?, file };
-            play.files(real.limiters).write_configuration(&place, 0)?;
-            play.processes.push(RealProcess::start(&play.program, place)?);
+            let process = play.start_process(number, real.limiters, file, &mut rng)?;
+            play.processes.push(process);
         }
         Ok(play)
     }
 
+    /// Starts a limiter; on other ports if somebody took its own meanwhile.
+    fn start_process(
+        &self,
+        number: u32,
+        limiters: u32,
+        file: PathBuf,
+        rng: &mut StdRng,
+    ) -> Result<RealProcess, String> {
+        let mut fault = String::new();
+        for _ in 0..START_TRIES {
+            let (port, control) = free_ports(rng)?;
+            let place = Place { number, port, control, file: file.clone() };
+            self.files(limiters).write_configuration(&place, 0)?;
+            match RealProcess::start(&self.program, place) {
+                Ok(process) => return Ok(process),
+                Err(reason) => fault = reason,
+            }
+        }
+        Err(fault)
+    }
+
     fn files(&self, limiters: u32) -> Files<'_> {
         Files {
             folder: &self.folder,
@@ -258,9 +299,9 @@
     /// Every second process ends at once and is started again.
     fn restart_half(&mut self) -> Result<(), String> {
         for number in (0..self.processes.len()).step_by(2) {
-            let process = &self.processes[number];
+            let process = &mut self.processes[number];
             self.ended_cpu_s += cpu_seconds(Some(process.id()));
-            process.signal(Signal::KILL)?;
+            process.kill()?;
         }
         for number in (0..self.processes.len()).step_by(2) {
             let place = self.processes[number].place.clone();
--- a/lab/src/real_process.rs
+++ b/lab/src/real_process.rs
@@ -28,6 +28,8 @@
         let log = File::create(place.file.with_extension("log")).map_err(|fault| fault.to_string())?;
         let process = Command::new(program)
             .arg(&place.file)
+            // Processes that share a folder would take over from each other.
+            .env_remove("TMPDIR")
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
@@ -42,7 +44,8 @@
         let until = Instant::now() + START_LIMIT;
         while Instant::now() < until {
             if let Ok(Some(status)) = self.process.try_wait() {
-                return Err(format!("limiter {} ended at its start: {status}", self.place.number));
+                let log = std::fs::read_to_string(self.place.file.with_extension("log")).unwrap_or_default();
+                return Err(format!("limiter {} ended at its start: {status}: {log}", self.place.number));
             }
             if self.call("ready").is_ok_and(|answer| answer.starts_with("YES")) {
                 return Ok(());
@@ -64,6 +67,12 @@
         kill_process(pid, signal).map_err(|fault| fault.to_string())
     }
 
+    /// Ends it at once; its ports are free then.
+    pub fn kill(&mut self) -> Result<(), String> {
+        let ended = self.process.kill().and_then(|()| self.process.wait());
+        ended.map(drop).map_err(|fault| fault.to_string())
+    }
+
     /// Entries of the server list that it uses.
     pub fn servers_known(&self) -> Option<u32> {
         let text = self.call("show-stat").ok()?;
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -3,6 +3,7 @@
 use crate::hollow_play::HollowResult;
 use crate::membership_play::MembershipResult;
 use crate::predictions::Comparison;
+use crate::quota_play::QuotaResult;
 use crate::real_play::RealResult;
 use crate::scenario::Scenario;
 use serde::Serialize;
@@ -24,6 +25,8 @@
     pub membership: Option<MembershipResult>,
     /// Real processes under traffic, in real time.
     pub real: Option<RealResult>,
+    /// Quotas over all limiters by mechanism, in virtual time.
+    pub quota: Option<Vec<QuotaResult>>,
     /// Figures beside their predictions.
     pub predictions: Vec<Comparison>,
     /// Whether the machine kept up.
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -3,7 +3,7 @@
 use crate::predictions::Predictions;
 use crate::report::RunReport;
 use crate::scenario::Scenario;
-use crate::{hollow_play, membership_play, real_play};
+use crate::{hollow_play, membership_play, quota_play, real_play};
 use std::path::Path;
 
 /// Plays a scenario with one seed; `limiter` is the program of the real processes.
@@ -17,6 +17,7 @@
     let membership = scenario.membership.as_ref().map(|m| membership_play::play(scenario, m, seed));
     let real =
         scenario.real.as_ref().map(|real| real_play::play(scenario, real, seed, limiter)).transpose()?;
+    let quota = scenario.quota.as_ref().map(|quota| quota_play::play(scenario, quota, seed)).transpose()?;
     let mut fell_behind: Vec<String> = hollow.iter().flat_map(|hollow| hollow.fell_behind.clone()).collect();
     fell_behind.extend(real.iter().flat_map(|real| real.fell_behind.clone()));
     let mut report = RunReport {
@@ -25,6 +26,7 @@
         hollow,
         membership,
         real,
+        quota,
         predictions: Vec::new(),
         kept_up: fell_behind.is_empty(),
         fell_behind,
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -179,6 +179,11 @@
     pub round_trip_ms: f64,
     /// Round trip to a control machine of another region.
     pub far_round_trip_ms: f64,
+    /// Seconds of traffic before the play, so that buckets and leases are as in steady state.
+    pub warm_up_s: u32,
+    /// With leases: a request that finds none takes units of the fallback part at once, in place of waiting.
+    #[serde(default)]
+    pub trust: bool,
 }
 
 /// What keeps the quotas.
@@ -276,10 +281,44 @@
 
 /// Reads and checks a scenario file.
 pub fn load(path: &Path) -> Result<Scenario, ScenarioError> {
+    load_with(path, &[])
+}
+
+/// Reads a scenario file, puts values in place of its own (`traffic.spread=32`), and checks it.
+pub fn load_with(path: &Path, overrides: &[String]) -> Result<Scenario, ScenarioError> {
     let file = path.display().to_string();
     let text = std::fs::read_to_string(path)
         .map_err(|fault| ScenarioError::Unreadable { file: file.clone(), fault })?;
-    parse(&file, &text)
+    if overrides.is_empty() {
+        return parse(&file, &text);
+    }
+    let malformed = |fault| ScenarioError::Malformed { file: file.clone(), fault: Box::new(fault) };
+    let mut table: toml::Table = toml::from_str(&text).map_err(malformed)?;
+    for entry in overrides {
+        set(&mut table, entry).map_err(|reason| ScenarioError::Value {
+            file: file.clone(),
+            key: entry.clone(),
+            reason,
+        })?;
+    }
+    parse(&file, &table.to_string())
+}
+
+/// Puts `path.to.key=value` into a table.
+fn set(table: &mut toml::Table, entry: &str) -> Result<(), String> {
+    let (path, value) = entry.split_once('=').ok_or("wanted KEY=VALUE")?;
+    let mut parsed: toml::Table =
+        toml::from_str(&format!("value = {value}")).map_err(|fault| fault.to_string())?;
+    let value = parsed.remove("value").ok_or("wanted KEY=VALUE")?;
+    let mut keys: Vec<&str> = path.split('.').collect();
+    let last = keys.pop().unwrap_or_default().to_owned();
+    let mut inner = table;
+    for key in keys {
+        let next = inner.get_mut(key).and_then(toml::Value::as_table_mut);
+        inner = next.ok_or_else(|| format!("there is no section \"{key}\""))?;
+    }
+    inner.insert(last, value);
+    Ok(())
 }
 
 /// Reads and checks the text of a scenario file.
--- a/lab/tests/scenarios.rs
+++ b/lab/tests/scenarios.rs
@@ -1,6 +1,6 @@
 //! Scenario files: the committed ones are good, and what can't be played is refused with file and key.
 
-use mossrill_lab::scenario::{load, parse, ScenarioError};
+use mossrill_lab::scenario::{load, load_with, parse, ScenarioError};
 use std::path::Path;
 
 const GOOD: &str = r#"
@@ -113,3 +113,20 @@
     assert!(matches!(fault, ScenarioError::Unreadable { .. }));
     assert!(fault.to_string().starts_with("no-such.toml: "));
 }
+
+#[test]
+fn values_put_in_place_of_a_scenario_are_checked_like_its_own() {
+    let short = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios/short.toml");
+    let with = |entry: &str| load_with(&short, &[entry.to_owned()]);
+    assert_eq!(with("traffic.spread=5").expect("a good value").traffic.spread, 5);
+    for (entry, key) in [
+        ("traffic.spread=0", "traffic.spread"),
+        ("traffic.spraed=5", "spraed"),
+        ("trafic.spread=5", "trafic"),
+        ("traffic.spread", "KEY=VALUE"),
+        ("quota.mechanisms=[\"luck\"]", "luck"),
+    ] {
+        let fault = with(entry).expect_err("a bad value").to_string();
+        assert!(fault.contains("short.toml") && fault.contains(key), "{entry}: {fault}");
+    }
+}
--- a/lab/tests/short_run.rs
+++ b/lab/tests/short_run.rs
@@ -27,8 +27,12 @@
     let json = std::env::temp_dir().join(format!("mossrill-lab-short-{}.json", std::process::id()));
     let scenario = file("scenarios/short.toml");
     let predictions = file("tests/short_predictions.toml");
+    let limiter = file("../target/release/mossrill");
+    assert!(limiter.exists(), "`make build` comes first: the run starts {}", limiter.display());
     let (good, printed, fault) = lab(&[
         "run",
+        "--limiter",
+        &limiter.to_string_lossy(),
         &scenario.to_string_lossy(),
         "--json",
         &json.to_string_lossy(),
@@ -44,6 +48,8 @@
     hollow_limiters_have_every_change(&report["hollow"]);
     decisions_add_up(&report["hollow"]);
     membership_is_known(&report["membership"]);
+    real_processes_serve(&report["real"]);
+    quotas_are_played_by_each_mechanism(&report["quota"]);
     predictions_are_compared(report, &printed);
     assert!(report["kept_up"].is_boolean() && report["fell_behind"].is_array());
     for figure in ["hollow.memory_bytes_per_limiter", "hollow.discovery.calls_per_s", "membership.settled_s"]
@@ -101,6 +107,49 @@
     assert!(number(membership, "/settled_s") > 0.0 && number(membership, "/bytes_per_member_s") > 0.0);
 }
 
+fn real_processes_serve(real: &Value) {
+    let of = |name: &str| count(real, &format!("/{name}"));
+    assert_eq!(of("requests"), of("served") + of("refused") + of("failed") + of("broken"));
+    assert!(of("served") > 0);
+    let events: Vec<_> = real["events"].as_array().expect("events").iter().map(Value::as_str).collect();
+    for event in ["configuration-changed", "half-restarted", "limiter-paused"] {
+        assert!(events.contains(&Some(event)), "{event}: {events:?}");
+    }
+    let changes = real["configuration_changes"].as_array().expect("changes");
+    assert_eq!(changes.len(), 3);
+    for change in changes {
+        assert_eq!((count(change, "/missing"), count(change, "/delay_s/count")), (0, 2), "{change}");
+    }
+    for figure in ["latency/p50_ms", "added/p99_ms", "added/p999_ms", "memory_bytes_per_limiter"] {
+        assert!(number(real, &format!("/{figure}")) > 0.0, "{figure}");
+    }
+    assert!(number(real, "/counter_calls_per_limiter_s") > 0.0);
+}
+
+/// In virtual time the same seed gives the same figures, so that they can be looked at.
+fn quotas_are_played_by_each_mechanism(quota: &Value) {
+    let results = quota.as_array().expect("results");
+    let mechanisms: Vec<_> = results.iter().map(|result| result["mechanism"].as_str()).collect();
+    assert_eq!(mechanisms, [Some("counter"), Some("leases")]);
+    // The same requests for each.
+    let requests = |result: &Value| count(result, "/whole/requests");
+    assert!(requests(&results[0]) > 0);
+    assert_eq!(requests(&results[0]), requests(&results[1]));
+    for result in results {
+        let phases = result["phases"].as_array().expect("phases");
+        assert_eq!(phases.iter().map(|phase| count(phase, "/requests")).sum::<u64>(), requests(result));
+        let events: Vec<_> = phases.iter().map(|phase| phase["event"].as_str()).collect();
+        for event in ["start", "zone-lost", "region-cut", "limiter-paused", "control-machine-lost"] {
+            assert!(events.contains(&Some(event)), "{event}: {events:?}");
+        }
+        assert_eq!(result["whole"]["messages_per_machine_s"].as_array().map(Vec::len), Some(3));
+        assert!(number(result, "/whole/bytes_per_limiter_s") > 0.0);
+        assert!(number(result, "/audit/sent_units") > number(result, "/audit/beyond_units"));
+        // What leases state without the parts kept for a cut is a looser bound than the quota itself.
+        assert!(number(result, "/lease_bound_audit/beyond_units") <= number(result, "/audit/beyond_units"));
+    }
+}
+
 /// One prediction holds, one is far off, one names a figure that is not there.
 fn predictions_are_compared(report: &Value, printed: &str) {
     let compared = report["predictions"].as_array().expect("predictions");
