--- a/src/net/front/protocol.rs
+++ b/src/net/front/protocol.rs
@@ -1,11 +1,12 @@
 //! The protocol of a front: how commands are read, and how replies are written.
 
 use super::super::interruptible::InterruptibleReader;
-use super::super::ticket_nodes::UpstreamProtocol;
+use super::super::ticket_nodes::{Presence, UpstreamProtocol};
 use super::session::Session;
 use crate::limiter::Answer;
 use std::io;
 use std::net::TcpStream;
+use std::sync::Arc;
 
 /// A protocol that clients speak on their connections.
 pub trait ClientProtocol: Send + Sync + Sized + 'static {
@@ -47,16 +48,24 @@
 }
 
 /// Where the answer of a request goes; without one, the agent is told that the request failed.
-pub struct ReplySlot<V>(Option<Box<dyn FnOnce(Reply<V>) + Send>>);
+pub struct ReplySlot<V> {
+    fill: Option<Box<dyn FnOnce(Reply<V>) + Send>>,
+    client: Arc<dyn Presence>,
+}
 
 impl<V> ReplySlot<V> {
-    pub(super) fn new(fill: impl FnOnce(Reply<V>) + Send + 'static) -> Self {
-        Self(Some(Box::new(fill)))
+    pub(super) fn new(client: Arc<dyn Presence>, fill: impl FnOnce(Reply<V>) + Send + 'static) -> Self {
+        Self { fill: Some(Box::new(fill)), client }
+    }
+
+    /// Who waits for the answer.
+    pub fn presence(&self) -> Arc<dyn Presence> {
+        self.client.clone()
     }
 
     /// Gives the answer.
     pub fn fill(mut self, reply: Reply<V>) {
-        if let Some(fill) = self.0.take() {
+        if let Some(fill) = self.fill.take() {
             fill(reply);
         }
     }
@@ -64,7 +73,7 @@
 
 impl<V> Drop for ReplySlot<V> {
     fn drop(&mut self) {
-        if let Some(fill) = self.0.take() {
+        if let Some(fill) = self.fill.take() {
             fill(Reply::Answer(Answer::Failed { late: false }));
         }
     }
--- a/src/net/wiring.rs
+++ b/src/net/wiring.rs
@@ -6,15 +6,18 @@
 use super::shutdown::{last_requests, LAST_ANSWERS, LAST_COMMANDS, STILL_COMING, STILL_WRITTEN};
 use super::ticket_nodes::{TicketNodes, UpstreamProtocol};
 use crate::config::{Common, NodeNews};
-use crate::control::line::{self, Desk};
+use crate::control::line::{self, AdminContext};
 use crate::figures::Figures;
 use crate::fleet::link::Fleet;
 use crate::fleet::parts::Standing;
 use crate::handover::link::Link;
-use crate::handover::message::{Body, Given};
+use crate::handover::message::{Body, LearnedState};
 use crate::handover::{Beside, Limiting};
 use crate::interface::{Scope, ServerId};
-use crate::limiter::{Answer, AttemptId, Clock, Core, Edges, Input, Order, Wait};
+use crate::limiter::{Answer, AttemptId, Clock, Command, Core, Edges, HandOverCommand, Input, Wait};
+use crate::quota_lease::config::LimiterLeases;
+use crate::quota_lease::link::{AllocatorLinks, Told};
+use crate::quota_lease::message::Report;
 use crossbeam_channel::{bounded, unbounded, Receiver, Sender};
 use slog::{info, o, warn, Logger};
 use socket2::{Domain, Socket, Type};
@@ -40,6 +43,7 @@
 pub struct Wiring<S: UpstreamProtocol> {
     nodes: TicketNodes<S>,
     counter: Option<CountLines>,
+    allocators: Option<AllocatorLinks>,
     figures: Arc<Figures>,
     /// To the other process of an upgrade.
     news: Option<Sender<Body>>,
@@ -56,8 +60,15 @@
         client.fill(Reply::Answer(answer));
     }
 
-    fn start(&mut self, attempt: AttemptId, node: &ServerId, call: &Arc<S::Call>, wait: Wait) {
-        self.nodes.start(attempt, node, call.clone(), wait);
+    fn start(
+        &mut self,
+        attempt: AttemptId,
+        node: &ServerId,
+        call: &Arc<S::Call>,
+        wait: Wait,
+        client: &ReplySlot<S::Value>,
+    ) {
+        self.nodes.start(attempt, node, call.clone(), wait, client.presence());
     }
 
     fn cancel(&mut self, attempt: AttemptId) -> bool {
@@ -92,6 +103,12 @@
         }
     }
 
+    fn report(&mut self, allocator: u32, report: Report) {
+        if let Some(allocators) = &self.allocators {
+            allocators.send(allocator, report);
+        }
+    }
+
     fn agents(&self) -> bool {
         (self.agents)()
     }
@@ -104,7 +121,7 @@
 pub struct Limiter<P: ClientProtocol> {
     core: Core<Wiring<P::Upstream>>,
     inputs: Receiver<Input<Wiring<P::Upstream>>>,
-    orders: Receiver<Order>,
+    commands: Receiver<Command>,
     beside: Option<Arc<Beside>>,
     front: Arc<Front<P>>,
     queue: Queue<P::Upstream>,
@@ -129,7 +146,7 @@
         counter: impl FnOnce(super::count_lines::Counted) -> io::Result<Option<CountLines>>,
         log: &Logger,
     ) -> io::Result<Self> {
-        let ((queue, inputs), (to_core, orders)) = (unbounded(), unbounded());
+        let ((queue, inputs), (to_core, commands)) = (unbounded(), unbounded());
         let figures = Figures::new(common.class_names);
         let (for_agents, for_nodes) = shares(common.descriptors);
         // Operators tell when a new process may take over: without them, and on platforms that give no folder, none does.
@@ -168,10 +185,13 @@
         front.set_accepting(joined.is_none());
         front.listen(listener.try_clone()?)?;
         let (own, wake) = (front.clone(), queue.clone());
-        let order = move |order| {
-            _ = to_core.send(order);
-            _ = wake.send(Input::Ordered);
+        let command = move |command| {
+            _ = to_core.send(command);
+            _ = wake.send(Input::CommandWaits);
         };
+        let for_hand_over = command.clone();
+        let hand_over = move |asked| for_hand_over(Command::HandOver(asked));
+        let admin = move |asked| command(Command::Admin(asked));
         let (clock, to) = (Clock::start(), queue.clone());
         let limiters = Arc::new(AtomicU32::new(common.settings.gateways));
         let living = limiters.clone();
@@ -188,17 +208,17 @@
             nodes: nodes.clone(),
             shares: (for_agents, for_nodes),
             figures: figures.clone(),
-            order: Box::new(order.clone()),
+            command: Box::new(hand_over),
         };
         change.share(joined.is_some());
-        let desk = || Desk {
+        let admin_context = || AdminContext {
             figures: figures.clone(),
             fleet: fleet.clone(),
             ready: Box::new(move || own.is_ready()),
-            order: Box::new(order),
+            command: Box::new(admin),
             log: log.new(o!("part" => "control")),
         };
-        let control = common.control.map(|at| line::listen(at, desk())).transpose()?;
+        let control = common.control.map(|at| line::listen(at, admin_context())).transpose()?;
         info!(log, "listening"; "at" => %bound, "limiter" => common.name,
             "control" => control.map(|at| at.to_string()));
         let news = match &beside {
@@ -217,15 +237,27 @@
             let front = front.clone();
             Box::new(move || !front.is_empty())
         };
-        let edges = Wiring { nodes: nodes.clone(), counter: counter.clone(), figures, news, agents };
+        let to = queue.clone();
+        let told: Told = Arc::new(move |event| _ = to.send(Input::Allocator(event)));
+        let links_log = log.new(o!("part" => "leases"));
+        let link = |leases: &LimiterLeases| {
+            AllocatorLinks::start(&leases.allocators, leases.timeouts, &told, &links_log)
+        };
+        let allocators = common.leases.as_ref().map(link).transpose()?;
+        let edges =
+            Wiring { nodes: nodes.clone(), counter: counter.clone(), allocators, figures, news, agents };
         let deadlines = common.settings.classes.iter().map(|class| class.deadline);
         let longest = Duration::from_micros(deadlines.max().unwrap_or(0));
         let core_log = log.new(o!("part" => "core"));
-        let core = Core::new(common.settings, common.seed, common.max_open, edges, clock, ready, core_log);
+        let mut core =
+            Core::new(common.settings, common.seed, common.max_open, edges, clock, ready, core_log);
+        if let Some(leases) = common.leases {
+            core = core.with_leases(leases.holder(clock.now()));
+        }
         Ok(Self {
             core,
             inputs,
-            orders,
+            commands,
             beside,
             front,
             queue,
@@ -279,7 +311,7 @@
 
     /// Runs the core on this thread until it is stopped; then waits for the last answers to be written.
     pub fn run(self) {
-        let untold = self.core.run(self.inputs, self.orders);
+        let untold = self.core.run(self.inputs, self.commands);
         self.front.wait_closed(LAST_ANSWERS);
         _ = self.beside.map(|beside| beside.farewell(untold));
     }
@@ -310,7 +342,7 @@
     /// Connections of agents and to ticket nodes, of a limiter that is alone.
     shares: (usize, usize),
     figures: Arc<Figures>,
-    order: Box<dyn Fn(Order) + Send + Sync>,
+    command: Box<dyn Fn(HandOverCommand) + Send + Sync>,
 }
 
 /// The core looks at orders first, but has a part of a processor alone.
@@ -321,19 +353,19 @@
         &self.listener
     }
 
-    fn give(&self) -> Option<Given> {
-        let (to, given) = bounded(1);
-        (self.order)(Order::Give(to));
-        given.recv_timeout(CORE_WAIT).ok()
+    fn give_state(&self) -> Option<LearnedState> {
+        let (to, state) = bounded(1);
+        (self.command)(HandOverCommand::GiveState(to));
+        state.recv_timeout(CORE_WAIT).ok()
     }
 
-    fn take_back(&self) {
-        (self.order)(Order::TakeBack);
+    fn reclaim_state(&self) {
+        (self.command)(HandOverCommand::ReclaimState);
     }
 
-    fn take(&self, given: Given) {
+    fn adopt_state(&self, state: LearnedState) {
         let (to, taken) = bounded(1);
-        (self.order)(Order::Take(given, to));
+        (self.command)(HandOverCommand::AdoptState(state, to));
         _ = taken.recv_timeout(CORE_WAIT);
     }
 
@@ -350,7 +382,7 @@
         // Two processes are one member: the one that serves speaks.
         self.fleet.iter().for_each(|fleet| fleet.speak(to.is_none()));
         if to.is_none() {
-            (self.order)(Order::Alone);
+            (self.command)(HandOverCommand::SuccessorGone);
         }
         let pass = to.map(|link| -> ConnectionHandOver {
             Arc::new(move |stream, read| {
@@ -365,7 +397,7 @@
     }
 
     fn hear(&self, news: Body) {
-        (self.order)(Order::Heard(news));
+        (self.command)(HandOverCommand::PeerNews(news));
     }
 
     /// Agents' connections move from the one to the other, so that neither has many of them for long. Connections to
@@ -381,7 +413,7 @@
     }
 
     fn depart(&self) {
-        (self.order)(Order::Finish);
+        (self.command)(HandOverCommand::Finish);
     }
 }
 
