--- a/src/config.rs
+++ b/src/config.rs
@@ -2,9 +2,11 @@
 
 use crate::fleet::datagram::{version, Key as FleetKey, MOST_LIMITERS};
 use crate::fleet::link::Place;
+use crate::fleet::released::Encoding;
 use crate::fleet::view::Setup;
 use crate::interface::*;
 use crate::openapi::description::Description;
+use crate::quota_lease::config::LimiterLeases;
 use crate::wire::{self, Names};
 use serde_json::Value;
 use std::collections::HashMap;
@@ -43,6 +45,8 @@
     pub common_folder: Option<PathBuf>,
     /// The limiter's place in its fleet, if limiters are to know each other.
     pub fleet: Option<Place>,
+    /// Where units are leased, if they are.
+    pub leases: Option<LimiterLeases>,
     /// Names of the classes, for operators.
     pub class_names: Vec<String>,
     /// For random numbers.
@@ -219,7 +223,8 @@
             listen: root.address("listen")?,
             control: root.control()?,
             common_folder: None,
-            fleet: fleet(&root, &settings, seed)?,
+            fleet: fleet(&root, (settings.me, settings.gateways), seed)?,
+            leases: None,
             class_names: names.classes().to_vec(),
             seed,
             descriptors: (sockets as usize).min(1_024),
@@ -265,6 +270,8 @@
     Redis(SocketAddr),
     /// The platform's quota counter.
     QuotaCounter(SocketAddr),
+    /// Allocators of quota leases.
+    Leases,
 }
 
 /// Reads the file of an OpenAPI front. `read` fetches the description, by a name relative to that file.
@@ -301,11 +308,13 @@
         Ok((member, key.address("address")?))
     })?;
     let store_key = Key::new(&value["store"], "store");
-    let store = match store_key.or("kind", "none", "none, redis or quota-counter", Value::as_str)? {
-        "none" => Store::None,
-        "redis" => Store::Redis(store_key.address("address")?),
-        "quota-counter" => Store::QuotaCounter(store_key.address("address")?),
-        _ => return Err(store_key.bad("kind", "none, redis or quota-counter")),
+    const KINDS: &str = "none, redis, quota-counter or leases";
+    let (store, leases) = match store_key.or("kind", "none", KINDS, Value::as_str)? {
+        "none" => (Store::None, None),
+        "redis" => (Store::Redis(store_key.address("address")?), None),
+        "quota-counter" => (Store::QuotaCounter(store_key.address("address")?), None),
+        "leases" => (Store::Leases, Some(LimiterLeases::from_store(&value["store"], me)?)),
+        _ => return Err(store_key.bad("kind", KINDS)),
     };
     let limits = Key::new(&value["limits"], "limits");
     let settings = Settings {
@@ -331,7 +340,8 @@
             fall: 3_000_000,
         },
         prices: Prices { waste: 0.05, count: 0.01, ..Prices::default() },
-        counter: !matches!(store, Store::None),
+        counter: matches!(store, Store::Redis(_) | Store::QuotaCounter(_)),
+        leased: leases.is_some(),
         counter_timeout: store_key.whole("timeout_ms", 50)?.max(1) * 1_000,
         weights: true,
         ..Settings::default()
@@ -348,7 +358,8 @@
             listen: root.address("listen")?,
             control: root.control()?,
             common_folder: None,
-            fleet: fleet(&root, &settings, seed)?,
+            fleet: fleet(&root, (settings.me, settings.gateways), seed)?,
+            leases,
             class_names: description.class_names.clone(),
             seed,
             descriptors: (limits.whole("sockets", 1_024)? as usize).min(1_024),
@@ -365,7 +376,7 @@
 }
 
 /// The limiter's place in its fleet. Every key is known, so that a slip of the pen is not a default.
-fn fleet(root: &Key<'_>, settings: &Settings, seed: u64) -> Result<Option<Place>, Fault> {
+pub(crate) fn fleet(root: &Key<'_>, (me, size): (u32, u32), seed: u64) -> Result<Option<Place>, Fault> {
     const KEYS: [&str; 10] = [
         "name",
         "key",
@@ -387,8 +398,8 @@
     if let Some(word) = words.keys().find(|word| !KEYS.contains(&word.as_str())) {
         return Err(format!("key \"fleet.{word}\" is not known"));
     }
-    if settings.gateways > MOST_LIMITERS {
-        return Err(format!("key \"fleet\": {} limiters, {MOST_LIMITERS} at the most", settings.gateways));
+    if size > MOST_LIMITERS {
+        return Err(format!("key \"fleet\": {size} limiters, {MOST_LIMITERS} at the most"));
     }
     let v4 = |v: &Value| match address(v.as_str()?)? {
         SocketAddr::V4(at) => Some(at),
@@ -407,7 +418,7 @@
     for (at, entry) in key.must("seeds", "a list", Value::as_array)?.iter().enumerate() {
         let path = format!("fleet.seeds[{at}]");
         let entry = Key::new(entry, &path);
-        let top = u64::from(settings.gateways) - 1;
+        let top = u64::from(size) - 1;
         let want = format!("the number of a limiter, from 0 to {top}");
         let who = entry.must("limiter", &want, |v| v.as_u64().filter(|n| *n <= top))? as u32;
         let address = entry.must("address", "an IPv4 host:port", |v| v4(v).filter(|at| at.port() > 0))?;
@@ -419,8 +430,7 @@
         }
         seeds.push((who, address));
     }
-    if !seeds.contains(&(settings.me, own)) {
-        let me = settings.me;
+    if !seeds.contains(&(me, own)) {
         return Err(format!("key \"fleet.seeds\" lacks this limiter, number {me} at {own}"));
     }
     let secret = key.must("key", "32 hex digits or more", |v| {
@@ -436,8 +446,9 @@
     let name = |v: &'_ Value| v.as_str().filter(|n| (1..=16).contains(&n.len())).map(str::to_owned);
     Ok(Some(Place {
         setup: Setup {
-            me: settings.me,
-            size: settings.gateways,
+            me,
+            size,
+            encoding: Encoding::of(size),
             fleet: key.must("name", "text of 1 to 16 bytes", name)?,
             address: own,
             version: version(env!("CARGO_PKG_VERSION")),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,12 +51,13 @@
 pub mod figures;
 pub mod fleet;
 pub mod handover;
-pub mod hush;
 pub mod interface;
 pub mod limiter;
+pub mod log_throttle;
 pub mod net;
 pub mod openapi;
 pub mod policy;
+pub mod quota_lease;
 mod state;
 pub mod wire;
 
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -119,49 +119,71 @@
 
 // ---- agents that leave ----
 
-/// A request waits behind another, its agent leaves, and the other ends later: it is not sent on.
-fn leaves_in_the_queue(told: impl Fn(&mut Agent)) {
+/// A client closes its connection. A process that another story is just starting may hold a copy of the descriptor: to
+/// drop it alone would close the connection later.
+fn leave(client: Agent) {
+    _ = client.0.get_ref().shutdown(Shutdown::Both);
+}
+
+/// A request and what its client sends behind it, `many` requests with the one that holds them up, wait for a node; the
+/// client does something more and leaves, and the node is free again so much later: nothing of it is sent on.
+fn leaves_in_the_queue(behind: &str, many: usize, told: impl Fn(&mut Agent), free_after: Duration) {
     let (node, gate, seen) = gated("first");
     let limiter = limiter(&patient(quiet_list(), &[("s-1", node)]));
     let mut first = Agent::ready(&limiter);
     first.ask("look", "first", 20_000);
     next(&seen);
     let mut left = Agent::ready(&limiter);
-    left.ask("look", "left", 20_000);
-    in_flight(&limiter, 2);
+    left.say(&(asking("look", "left", 20_000) + behind));
+    in_flight(&limiter, many);
     told(&mut left);
-    drop(left);
-    thread::sleep(FOUND_OUT);
+    leave(left);
+    thread::sleep(free_after);
     gate.open();
     assert_eq!(first.answer(), "first");
     first.ask("look", "after", 20_000);
     assert_eq!(first.answer(), "after");
+    in_flight(&limiter, 0);
     assert_eq!(ids(&seen), ["after"]);
 }
 
 #[test]
 fn a_request_whose_agent_left_while_it_waited_for_a_node_is_not_sent_on() {
-    leaves_in_the_queue(|_| {});
+    leaves_in_the_queue("", 2, |_| {}, FOUND_OUT);
 }
 
 #[test]
 fn nor_is_one_whose_agent_had_more_to_say_than_is_read() {
-    leaves_in_the_queue(|agent| {
+    let told = |agent: &mut Agent| {
         // What can't be read ends the reading; the rest of it is not read up to the agent's end.
         _ = agent.0.get_mut().write_all(b"*x\r\n");
         _ = agent.0.get_mut().write_all(&vec![b'x'; 512 * 1024]);
-    });
+    };
+    leaves_in_the_queue("", 2, told, FOUND_OUT);
 }
 
 #[test]
 fn nor_are_those_behind_it_on_its_connection() {
-    leaves_in_the_queue(|agent| {
+    let told = |agent: &mut Agent| {
         ["pay", "look", "hold"].iter().for_each(|class| agent.ask(class, &format!("left-{class}"), 20_000));
-    });
+    };
+    leaves_in_the_queue("", 2, told, FOUND_OUT);
 }
 
 #[test]
-fn nor_is_one_that_came_over_http() {
+fn nothing_is_sent_on_from_the_moment_at_which_its_client_left_though_nobody_reads_from_it() {
+    // The reader rests, with nothing, further requests of the client or half of one behind the request that waits.
+    let further = asking("pay", "behind", 20_000) + &asking("hold", "last", 20_000);
+    let half = asking("pay", "half", 20_000).split_at(30).0.to_owned();
+    for (behind, many) in [(nonsense(), 2), (further + &nonsense(), 4), (nonsense() + &half, 2)] {
+        leaves_in_the_queue(&behind, many, |_| {}, Duration::ZERO);
+    }
+}
+
+const FERRY: &str = include_str!("../deploy/ferry.openapi.json");
+
+/// The file of a limiter with an OpenAPI front, whose node keeps reports waiting at a gate; what the node has seen.
+fn gated_http() -> (Value, Gate, std::sync::mpsc::Receiver<String>) {
     let (gate, (tell, seen)) = (Gate::default(), channel());
     let (own, tell) = (gate.clone(), Mutex::new(tell));
     let node = http_peer(move |first, _, _| {
@@ -175,14 +197,53 @@
     (file["listen"], file["control"]) = ("127.0.0.1:0".into(), "127.0.0.1:0".into());
     (file["store"], file["ticket_nodes"]) =
         (serde_json::json!({}), serde_json::json!([{"name": "node-0", "address": node.to_string()}]));
-    let limiter = openapi_limiter(&file, include_str!("../deploy/ferry.openapi.json"));
-    let ask = |line: &str| {
-        let mut agent = Agent::connect(&limiter);
-        agent.say(&format!(
-            "{line} HTTP/1.1\r\nHost: x\r\nX-Agent-Account: agen-utama\r\nContent-Length: 0\r\n\r\n"
-        ));
-        agent
+    (file, gate, seen)
+}
+
+fn ask_http(at: SocketAddr, line: &str) -> Agent {
+    let mut agent = Agent::connect_at(at);
+    agent.say(&format!(
+        "{line} HTTP/1.1\r\nHost: x\r\nX-Agent-Account: agen-utama\r\nContent-Length: 0\r\n\r\n"
+    ));
+    agent
+}
+
+#[test]
+fn nor_over_http_is_one_whose_client_left_while_the_limiter_stood_still() {
+    // It is stopped while the attempt waits for the node's connection, which may be used again 20 ms after its last answer.
+    // As the limiter goes on, that time has passed and the client has left. A round in which it was stopped too late says
+    // nothing.
+    let round = |number: &usize| {
+        let (file, gate, seen) = gated_http();
+        let folder = std::env::temp_dir().join(format!("mossrill-still-{number}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let program = Program::start_openapi("still", &file, FERRY, &folder);
+        program.call_until("ready", "YES");
+        let mut first = ask_http(program.at, "GET /v1/reports/daily");
+        assert_eq!(seen.recv().expect("a request"), "/v1/reports/daily");
+        let left = ask_http(program.at, "POST /v1/tickets");
+        until(|| program.call("show-stat"), |stat| stat.contains("limiter.in_flight=2\n"));
+        let began = Instant::now();
+        gate.open();
+        assert_eq!(first.line(), "HTTP/1.1 200 OK");
+        program.stands_still();
+        let in_time = began.elapsed() < Duration::from_millis(15);
+        thread::sleep(Duration::from_millis(30));
+        leave(left);
+        program.goes_on();
+        until(|| program.call("show-stat"), |stat| stat.contains("limiter.in_flight=0\n"));
+        _ = std::fs::remove_dir_all(&folder);
+        in_time.then(|| seen.try_iter().collect::<Vec<_>>())
     };
+    let good: Vec<_> = (0..100).filter_map(|number| round(&number)).take(5).collect();
+    assert_eq!(good, vec![Vec::<String>::new(); 5]);
+}
+
+#[test]
+fn nor_is_one_that_came_over_http() {
+    let (file, gate, seen) = gated_http();
+    let limiter = openapi_limiter(&file, FERRY);
+    let ask = |line: &str| ask_http(limiter.at, line);
     let mut first = ask("GET /v1/reports/daily");
     assert_eq!(seen.recv().expect("a request"), "/v1/reports/daily");
     let left = ask("POST /v1/tickets");
@@ -213,29 +274,35 @@
     assert_eq!(ids(&seen), ["after"]);
 }
 
-#[test]
-fn a_request_whose_agent_left_while_it_waited_for_the_counter_is_not_sent_on() {
+/// A limiter whose part of a quota is less than a request takes, and a client whose request waits until the counter, which
+/// is held at the gate, has let it have the rest; what the node sees.
+fn claiming() -> (Running, Agent, Gate, Seen) {
     let (gate, (tell, called)) = (Gate::default(), channel());
     let (own, tell) = (gate.clone(), Mutex::new(tell));
-    let counter = http_peer(move |_, _, _| {
+    let counter = http_peer(move |first, _, _| {
         _ = tell.lock().expect("whole").send(());
         own.pass();
-        answer("200 OK", "0")
+        answer("200 OK", &counted(first).1.to_string())
     });
     let (node, seen) = resp_peer(|_, words| serve(&words[2]));
     let mut told = patient(quiet_list(), &[("s-1", node)]);
     told["counter"] = counter.to_string().into();
-    // A part of the quota is less than the request takes: it has to be claimed.
-    told["settings"]["balancers"] = 2.into();
+    told["settings"]["balancers"] = 4.into();
     (told["settings"]["tariffs"][0]["refill"], told["settings"]["tariffs"][0]["peakUnits"]) =
-        (0.5.into(), 2.0.into());
+        (0.5.into(), 4.0.into());
     told["settings"]["specifics"]["counterTimeout"] = 20_000_000.into();
     let limiter = limiter(&told);
-    let mut agent = Agent::ready(&limiter);
-    agent.say(&asking_for("00000000b4d65521", 2, "pay", "left", 20_000));
+    let mut client = Agent::ready(&limiter);
+    client.say(&asking_for("00000000b4d65521", 4, "pay", "claimed", 20_000));
     called.recv().expect("a call");
     in_flight(&limiter, 1);
-    drop(agent);
+    (limiter, client, gate, seen)
+}
+
+#[test]
+fn a_request_whose_agent_left_while_it_waited_for_the_counter_is_not_sent_on() {
+    let (limiter, client, gate, seen) = claiming();
+    drop(client);
     in_flight(&limiter, 0);
     gate.open();
     let mut agent = Agent::ready(&limiter);
@@ -275,6 +342,122 @@
     assert_eq!(String::from_utf8_lossy(&node.open()), "");
 }
 
+/// What holds up the reader of a client that sends it: 0.36 s in all, from one command to the next.
+fn nonsense() -> String {
+    asking("dance", "bad", 500).repeat(8)
+}
+
+#[test]
+fn nor_is_what_was_claimed_from_the_moment_at_which_its_client_left() {
+    for stays in [true, false] {
+        let (limiter, mut client, gate, seen) = claiming();
+        client.say(&nonsense());
+        thread::sleep(Duration::from_millis(40));
+        let client = match stays {
+            true => Some(client),
+            false => {
+                leave(client);
+                None
+            }
+        };
+        gate.open();
+        in_flight(&limiter, 0);
+        // What is claimed is sent on, but for a client that has left.
+        assert_eq!(ids(&seen).len(), usize::from(client.is_some()));
+    }
+}
+
+#[test]
+fn nor_is_what_waits_for_a_connection_to_rest_from_the_moment_at_which_its_client_left() {
+    let (node, seen) = resp_peer(|_, words| serve(&words[2]));
+    let limiter = limiter(&patient(quiet_list(), &[("s-1", node)]));
+    let mut first = Agent::ready(&limiter);
+    // A round in which the client left too late, as on a busy machine, says nothing.
+    let round = |number: &usize| {
+        let mut left = Agent::ready(&limiter);
+        let began = Instant::now();
+        first.ask("look", "first", 20_000);
+        assert_eq!(first.answer(), "first");
+        // On the connection of the first, which may be used again 20 ms after its answer.
+        left.say(&(asking("look", &format!("left-{number}"), 20_000) + &nonsense()));
+        thread::sleep(Duration::from_millis(4));
+        leave(left);
+        began.elapsed() < Duration::from_millis(18)
+    };
+    let good = (0..500).find(round).expect("a good round");
+    in_flight(&limiter, 0);
+    let seen = ids(&seen);
+    assert!(!seen.contains(&format!("left-{good}")), "{seen:?}");
+}
+
+/// A process that runs for 10 ms of each 100 ms, for at most so long.
+fn a_tenth_of_a_core(program: &Program, longest: Duration) -> std::process::Child {
+    let turns = longest.as_millis() / 100;
+    let turn = "kill -CONT $0 && sleep 0.01 && kill -STOP $0 && sleep 0.09 || exit 0";
+    let script = format!("for turn in $(seq {turns}); do {turn}; done; kill -CONT $0");
+    let number = program.number().to_string();
+    std::process::Command::new("sh").args(["-c", &script, &number]).spawn().expect("a shell")
+}
+
+/// A measurement, not a test: `cargo test --release --test crossings -- --ignored --nocapture after_the_close`.
+#[test]
+#[ignore = "a measurement"]
+fn time_from_a_client_s_close_to_an_attempt_after_the_close_at_a_tenth_of_a_core() {
+    let arrived: Arc<Mutex<HashMap<String, Instant>>> = Arc::default();
+    let own = arrived.clone();
+    let (node, _seen) = resp_peer(move |_, words| {
+        own.lock().expect("whole").insert(words[2].clone(), Instant::now());
+        thread::sleep(Duration::from_millis(15));
+        serve(&words[2])
+    });
+    let nodes = ["s-1", "s-2", "s-3"].map(|name| (name, node));
+    let mut told = patient(quiet_list(), &nodes);
+    (told["settings"]["tariffs"][0]["refill"], told["settings"]["tariffs"][0]["peakUnits"]) =
+        (1e6.into(), 1e6.into());
+    let program = Program::start("after-the-close", &told);
+    program.call_until("ready", "YES");
+    let mut slowed = a_tenth_of_a_core(&program, Duration::from_secs(30));
+    let (at, began) = (program.at, Instant::now());
+    let clients = (0..80).map(|own| {
+        thread::spawn(move || {
+            let (mut closed, mut rng) = (Vec::new(), fastrand::Rng::with_seed(own));
+            for number in 0.. {
+                if began.elapsed() > Duration::from_secs(20) {
+                    break;
+                }
+                let id = format!("left-{own}-{number}");
+                let mut client = Agent::connect_at(at);
+                // Half of them are not read from when they leave.
+                let behind = if number % 2 == 0 { String::new() } else { nonsense() };
+                client.say(&(asking("look", &id, 5_000) + &behind));
+                thread::sleep(Duration::from_millis(rng.u64(0..600)));
+                leave(client);
+                closed.push((id, Instant::now()));
+            }
+            closed
+        })
+    });
+    let clients: Vec<_> = clients.collect();
+    let closed: Vec<_> = clients.into_iter().flat_map(|client| client.join().expect("an end")).collect();
+    thread::sleep(Duration::from_secs(3));
+    slowed.wait().expect("an end");
+    let arrived = arrived.lock().expect("whole");
+    let late = closed.iter().filter_map(|(id, at)| arrived.get(id)?.checked_duration_since(*at));
+    let mut late: Vec<_> = late.collect();
+    late.sort();
+    let part = |part: f64| late.get((late.len() as f64 * part) as usize).or(late.last());
+    println!(
+        "{} left, {} attempts came before and {} after: 50th {:?}, 99th {:?}, worst {:?}, {} after 0.1 s",
+        closed.len(),
+        arrived.len() - late.len(),
+        late.len(),
+        part(0.5),
+        part(0.99),
+        late.last(),
+        late.iter().filter(|late| **late > Duration::from_millis(100)).count()
+    );
+}
+
 // ---- nodes ----
 
 /// Takes a hold to a node that answers with an error once it drains and another is there, which is shut: the
@@ -518,11 +701,16 @@
     }
 }
 
-#[test]
-fn a_watch_that_is_reset_again_and_again_is_asked_for_each_time_before_a_drain_binds() {
+/// A node that serves "old", and the news that it drains and another one, which serves "new", is there.
+fn replaced_node() -> (SocketAddr, String) {
     let (old, new) = (resp_peer(|_, _| serve("old")).0, resp_peer(|_, _| serve("new")).0);
     let change = [entry("s-1", old, "terminating"), entry("s-2", new, "in_service")];
-    let news = serde_json::json!({"generation": 9, "reset": false, "instances": change}).to_string();
+    (old, serde_json::json!({"generation": 9, "reset": false, "instances": change}).to_string())
+}
+
+#[test]
+fn a_watch_that_is_reset_again_and_again_is_asked_for_each_time_before_a_drain_binds() {
+    let (old, news) = replaced_node();
     let list = peer(move |number, stream| {
         let mut from = BufReader::new(stream);
         _ = http(&mut from, false);
@@ -542,6 +730,36 @@
     serves_until(&limiter, "new");
 }
 
+#[test]
+fn calls_that_the_list_does_not_answer_or_answers_without_end_are_given_up_early() {
+    let (old, news) = replaced_node();
+    let list = peer(move |number, stream| {
+        let mut from = BufReader::new(stream);
+        _ = http(&mut from, false);
+        let to = from.get_mut();
+        // Silent three times, and then a head that never ends, twice.
+        if (3..5).contains(&number) {
+            to.write_all(b"HTTP/1.1 200 OK\r\nX: ").expect("written");
+            while to.write_all(b"x").is_ok() {
+                thread::sleep(Duration::from_millis(20));
+            }
+            return;
+        }
+        if number >= 5 {
+            let text = format!(
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{news}\r\n",
+                news.len()
+            );
+            to.write_all(text.as_bytes()).expect("written");
+        }
+        _ = http(&mut from, false);
+    });
+    let mut told = settings(list, quota_counter().0, &[("s-1", old)]);
+    told["settings"]["balancers"] = 300.into();
+    told["settings"]["safety"]["drainGrace"] = 1_000_000.into();
+    serves_until(&limiter(&told), "new");
+}
+
 #[test]
 fn sent_to_another_list_it_hears_nothing_more_of_the_old_one_though_that_speaks_on() {
     let (old, new) = (resp_peer(|_, _| serve("old")).0, resp_peer(|_, _| serve("new")).0);
@@ -726,6 +944,27 @@
     stopped.join().expect("an end");
 }
 
+#[test]
+fn a_request_that_is_taken_once_the_core_has_ended_is_answered_and_its_connection_closed() {
+    let (node, _seen) = resp_peer(|_, words| serve(&words[2]));
+    let mut told = settings(quiet_list(), quota_counter().0, &[("s-1", node)]);
+    // Shorter than the time in which connections still come: the core ends with it, 0.45 s after the word to stop.
+    for class in told["settings"]["classes"].as_array_mut().expect("classes") {
+        (class["slo"], class["deadline"]) = (50_000.into(), 50_000.into());
+    }
+    let limiter = limiter(&told);
+    let mut client = Agent::ready(&limiter);
+    client.ask("look", "first", 50);
+    assert!(!client.answer().is_empty());
+    let stopped = thread::spawn(move || limiter.stop());
+    thread::sleep(Duration::from_millis(300));
+    // The reader has all of it in its hands, and comes to the request once it has rested after the nonsense, for 0.36 s.
+    client.say(&(asking("dance", "bad", 500).repeat(8) + &asking("pay", "in-hand", 50)));
+    stopped.join().expect("an end");
+    let answers: Vec<_> = (0..10).map(|_| client.answer()).collect();
+    assert_eq!(answers[8..], ["-ERR failed", ""]);
+}
+
 #[test]
 fn a_connection_taken_after_idle_ones_were_closed_has_its_first_request_served() {
     let (node, gate, seen) = gated("held");
