Allocator: a backlog for all limiters at once, and a connection without a thread is counted

Its connections stood at 129 for seconds: the listener's backlog was std's 128, what found no room in it tried again after a second or more, and the first connections meanwhile met the 3 s without a report after which the story's file has them closed (closed_idle 8 to 116). Limiters of a zone that come back within one second would wait in the same way.

- The listener has a backlog of 4,096.
- A connection for which there is no thread was dropped without a word; it is counted and logged now.

--- a/src/quota_lease/server.rs
+++ b/src/quota_lease/server.rs
@@ -18,6 +18,7 @@
 use prost::Message;
 use rustix::process::{getrlimit, Resource};
 use slog::{info, o, warn, Logger};
+use socket2::{Domain, Socket, Type};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -26,6 +27,9 @@
 
 /// The owner of the allocator is waited for so long when the process ends.
 const LAST_ANSWERS: Duration = Duration::from_secs(1);
+/// Connections that wait to be accepted: all limiters may come back within one second, and one that finds no room tries
+/// again only after a second or more.
+const BACKLOG: i32 = 4_096;
 /// File descriptors that are not connections of limiters, generously.
 const OTHER_DESCRIPTORS: usize = 32;
 /// After an error of the listener, as when there are no file descriptors left.
@@ -54,7 +58,7 @@
         warn_of_few_descriptors(&config, log);
         let clock = Clock::start();
         let (queue, inputs) = unbounded();
-        let listener = TcpListener::bind(config.listen)?;
+        let listener = listen(config.listen)?;
         let address = listener.local_addr()?;
         let connections = Arc::new(Connections {
             queue: queue.clone(),
@@ -94,6 +98,14 @@
     }
 }
 
+fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
 /// Each connection takes a file descriptor.
 fn warn_of_few_descriptors(config: &AllocatorConfig, log: &Logger) {
     let wanted = (config.connections + OTHER_DESCRIPTORS) as u64;
@@ -316,18 +328,26 @@
             self.closed.refused.fetch_add(1, Ordering::Relaxed);
             return self.log_closed(Some(from), "too many connections");
         }
+        let connections = self.clone();
         let serve = move || {
-            let fault = self.serve(&stream);
+            let fault = connections.serve(&stream);
             drop(open);
-            if let ConnectionError::Frame(fault) = &fault {
-                self.closed.count(fault);
-            }
-            if !matches!(fault, ConnectionError::Frame(FrameError::Closed) | ConnectionError::Ending) {
-                self.log_closed(Some(from), &fault.to_string());
-            }
+            connections.count_closed(from, &fault);
         };
         // Without a thread for it the connection is closed.
-        _ = spawn("limiter", serve);
+        if let Err(fault) = spawn("limiter", serve) {
+            self.closed.failed.fetch_add(1, Ordering::Relaxed);
+            self.log_closed(Some(from), &fault.to_string());
+        }
+    }
+
+    fn count_closed(&self, from: SocketAddr, fault: &ConnectionError) {
+        if let ConnectionError::Frame(fault) = fault {
+            self.closed.count(fault);
+        }
+        if !matches!(fault, ConnectionError::Frame(FrameError::Closed) | ConnectionError::Ending) {
+            self.log_closed(Some(from), &fault.to_string());
+        }
     }
 
     /// Answers reports until something is wrong with the connection or what comes over it.
