Lab: the list at 260 limiters measured; memory of a hollow limiter counted as measured

Cause: a hollow limiter kept 30.6 MB after it had read the list of 21,000 servers, as its thread's heap is not given back; the estimate counted that for the limiters of one zone alone, so a scenario of 2,000 passed that the machine does not bear.

--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -9,8 +9,9 @@
 pub const PROCESS_LIMIT: u32 = 300;
 /// Memory of one entry of the server list at a hollow limiter.
 pub const LIST_ENTRY_BYTES: u64 = 16;
-/// Memory that a limiter takes for each entry while it reads the whole list: its text and the parsed tree.
-pub const LIST_READ_BYTES: u64 = 1_200;
+/// Memory that a limiter takes for each entry while it reads the whole list, and that its thread's heap keeps afterwards:
+/// 30.6 MB a limiter were measured with 21,000 entries.
+pub const LIST_READ_BYTES: u64 = 1_460;
 /// Memory of a hollow limiter apart from list and accounts: threads, buffers, its gateway.
 pub const HOLLOW_BASE_BYTES: u64 = 256 << 10;
 /// Memory of one account at one hollow limiter.
@@ -541,28 +542,12 @@
         let counter = self.hollow.as_ref().is_some_and(|hollow| hollow.counter);
         let each = list + HOLLOW_BASE_BYTES + if counter { accounts } else { 0 };
         let read = u64::from(sizes.servers) * LIST_READ_BYTES;
-        let reading = u64::from(self.limiters_started_at_once()).saturating_mul(read);
-        let hollow = match self.hollow {
-            Some(_) => limiters.saturating_mul(each).saturating_add(reading),
-            None => 0,
-        };
+        let hollow = if self.hollow.is_some() { limiters.saturating_mul(each + read) } else { 0 };
         let quota = if self.quota.is_some() { limiters.saturating_mul(accounts) } else { 0 };
         let real = self.real.as_ref().map_or(0, |real| u64::from(real.limiters) * REAL_LIMITER_BYTES);
         hollow.max(quota).saturating_add(real).saturating_add(OWN_BYTES)
     }
 
-    /// Hollow limiters that read the whole list at the same time: those of a zone, or half of all where an event restarts
-    /// them.
-    fn limiters_started_at_once(&self) -> u32 {
-        let restarts = self.events.iter().any(|timed| timed.event == Event::HalfRestarted);
-        let zone = self.sizes.limiters.div_ceil(self.sizes.zones);
-        if restarts {
-            zone.saturating_mul(self.sizes.zones.div_ceil(2))
-        } else {
-            zone
-        }
-    }
-
     /// Accounts that a limiter may come to know: those of its sets, and not more than it sees requests.
     fn accounts_seen_by_a_limiter(&self) -> u64 {
         let (sizes, traffic) = (&self.sizes, &self.traffic);
--- a/lab/tests/scenarios.rs
+++ b/lab/tests/scenarios.rs
@@ -102,14 +102,11 @@
 fn more_than_the_machine_bears_is_refused() {
     let memory = fault_of("servers = 20", "servers = 400_000_000");
     assert!(memory.contains("sizes.limiters") && memory.contains("machine bears"), "{memory}");
-    // Half of 2,000 limiters that read a list of 21,000 entries at once.
-    let large = GOOD
-        .replace("limiters = 8", "limiters = 2000")
-        .replace("servers = 20", "servers = 21000")
-        .replace("zones = 4", "zones = 13");
-    parse("large.toml", &large).expect("a zone at a time is borne");
-    let restart = large.replace("{ zone-lost = { zone = 1 } }", "\"half-restarted\"");
-    let memory = parse("bad.toml", &restart).expect_err("half at once").to_string();
+    // What reading a list of 21,000 entries takes stays with each limiter's thread.
+    let large = GOOD.replace("servers = 20", "servers = 21000");
+    parse("large.toml", &large.replace("limiters = 8", "limiters = 260")).expect("260 limiters are borne");
+    let memory = parse("bad.toml", &large.replace("limiters = 8", "limiters = 2000"));
+    let memory = memory.expect_err("2,000 limiters").to_string();
     assert!(memory.contains("sizes.limiters") && memory.contains("machine bears"), "{memory}");
     let text = GOOD.replace("limiters = 8", "limiters = 2000").replace("zones = 4", "zones = 301");
     let processes = parse("bad.toml", &text).expect_err("301 processes and more").to_string();
