--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -5,6 +5,7 @@
 use mossrill::net::wiring::{Limiter, Reload, Stopper};
 use mossrill::net::{platform, resp};
 use mossrill::{config, openapi};
+use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use slog::{o, Discard, Logger};
 use std::collections::HashMap;
@@ -277,6 +278,17 @@
         Self::spawn_by(shell, name, settings, None).listening()
     }
 
+    /// One with an OpenAPI front, its file and description in a folder.
+    pub fn start_openapi(name: &str, file: &Value, description: &str, folder: &Path) -> Self {
+        let path = folder.join("openapi.json");
+        std::fs::write(&path, file.to_string()).expect("a file");
+        std::fs::write(folder.join(file["description"].as_str().expect("a name")), description)
+            .expect("a file");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_mossrill"));
+        command.arg(path);
+        Self::spawn_by(command, name, file, None).listening()
+    }
+
     fn spawn(name: &str, settings: &Value, folder: Option<&Path>) -> Self {
         Self::spawn_by(Command::new(env!("CARGO_BIN_EXE_mossrill")), name, settings, folder)
     }
@@ -327,11 +339,32 @@
         (ticks(11) + ticks(12), memory.expect("a number"))
     }
 
+    /// Its number in the system.
+    pub fn number(&self) -> u32 {
+        self.child.id()
+    }
+
     /// How many descriptors it holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("a process").count()
     }
 
+    /// Stops it, and waits until each of its threads stands still.
+    pub fn stands_still(&self) {
+        kill_process(Pid::from_child(&self.child), Signal::STOP).expect("a process");
+        let still = || {
+            let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("a process");
+            let stats = tasks.filter_map(|task| std::fs::read_to_string(task.ok()?.path().join("stat")).ok());
+            stats.into_iter().all(|stat| stat.rsplit(") ").next().is_some_and(|rest| rest.starts_with('T')))
+        };
+        until(still, |still| *still);
+    }
+
+    /// Lets it go on.
+    pub fn goes_on(&self) {
+        kill_process(Pid::from_child(&self.child), Signal::CONT).expect("a process");
+    }
+
     /// How many threads it has.
     pub fn threads(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("a process").count()
