Fleet tests: each rig's fleet has a name of its own, so that strays of another's limiters are dropped

The relay's reader ended, and limiter 0 held nobody for living. Change: the name holds the process and a number of the relay.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod relay;
 mod rig;
 
+use mossrill::fleet::datagram::{Datagram, Key, Word, FORMAT};
 use rig::{Plan, Rig};
 use std::net::UdpSocket;
 use std::thread;
@@ -225,6 +226,35 @@
     rig.check(None);
 }
 
+#[test]
+fn a_relay_passes_nothing_on_from_another_fleet_s_limiters() {
+    let (small, large) = (relay::Relay::new(5, 1), relay::Relay::new(30, 2));
+    let secret: Vec<u8> = (0..16).map(|n| n * 0x11).collect();
+    let key = Key::new(&secret);
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let send = |fleet: &str, from: u32| {
+        let datagram = Datagram {
+            format: FORMAT,
+            fleet: fleet.into(),
+            from,
+            session: 1,
+            ip: u32::from(std::net::Ipv4Addr::LOCALHOST),
+            port: 9,
+            word: Some(Word::Ping(true)),
+            ..Datagram::default()
+        };
+        socket.send_to(&key.seal(&datagram), small.address(0)).expect("sent");
+    };
+    // The first one's number is above all that the relay knows.
+    send(large.fleet(), 25);
+    send(small.fleet(), 1);
+    let began = Instant::now();
+    while small.real(1).is_none() {
+        assert!(began.elapsed() < Duration::from_secs(20), "the relay reads no further");
+        pause(5);
+    }
+}
+
 #[test]
 fn bad_datagrams_and_a_flood_of_them_change_nothing() {
     let rig = Rig::up(Plan::new("flood", 3));
--- a/tests/fleet/relay.rs
+++ b/tests/fleet/relay.rs
@@ -7,11 +7,11 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-pub const FLEET: &str = "rig";
 pub const SECRET: &str = "00112233445566778899aabbccddeeff";
 
 /// What happens to datagrams.
@@ -30,7 +30,14 @@
 /// On its way: when it arrives, its number, from where and to where.
 type OnTheWay = Reverse<(Instant, u64, usize, usize, Vec<u8>)>;
 
+/// Relays that this process has started.
+static RELAYS: AtomicU32 = AtomicU32::new(0);
+
 struct Shared {
+    /// Name of the fleet, which no other relay has while this process runs.
+    ///
+    /// Guards against datagrams of another test's limiters, which still speak to a port that the system has given to this one.
+    fleet: String,
     sockets: Vec<UdpSocket>,
     /// Where each limiter really is, as its datagrams tell.
     real: Mutex<Vec<Option<SocketAddr>>>,
@@ -56,7 +63,9 @@
             late: 5,
             rng: StdRng::seed_from_u64(seed),
         };
+        let number = RELAYS.fetch_add(1, Ordering::Relaxed);
         let shared = Arc::new(Shared {
+            fleet: format!("rig-{:x}-{number:x}", std::process::id()),
             sockets: (0..limiters).map(socket).collect(),
             real: Mutex::new(vec![None; limiters]),
             script: Mutex::new(script),
@@ -73,6 +82,11 @@
         Self(shared)
     }
 
+    /// Name of the fleet behind this relay.
+    pub fn fleet(&self) -> &str {
+        &self.0.fleet
+    }
+
     /// Where the others reach a limiter.
     pub fn address(&self, who: usize) -> SocketAddr {
         self.0.sockets[who].local_addr().expect("an address")
@@ -99,7 +113,7 @@
         let key = Key::new(&(0..16).map(|n| n * 0x11).collect::<Vec<u8>>());
         let mut bytes = [0; 512];
         while let Ok((size, at)) = self.sockets[to].recv_from(&mut bytes) {
-            let Ok(datagram) = key.open(FLEET, &bytes[..size]) else { continue };
+            let Ok(datagram) = key.open(&self.fleet, &bytes[..size]) else { continue };
             let from = datagram.from as usize;
             self.real.lock().expect("whole")[from] = Some(at);
             let mut copies = Vec::new();
--- a/tests/fleet/rig.rs
+++ b/tests/fleet/rig.rs
@@ -2,7 +2,7 @@
 
 use crate::checker::{self, Bounds, Entry, Told};
 use crate::peers::*;
-use crate::relay::{Relay, Script, FLEET, SECRET};
+use crate::relay::{Relay, Script, SECRET};
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream};
@@ -171,7 +171,7 @@
             told["settings"]["tariffs"][0]["refill"] = plan.rate.into();
             told["settings"]["tariffs"][0]["peakUnits"] = plan.burst.into();
             if plan.fleet {
-                told["fleet"] = json!({"name": FLEET, "key": SECRET, "listen": "127.0.0.1:0",
+                told["fleet"] = json!({"name": relay.fleet(), "key": SECRET, "listen": "127.0.0.1:0",
                     "address": relay.address(me).to_string(), "seeds": seeds(me), "period_ms": 100,
                     "out_per_s": 120, "in_per_s": 120, "kept": plan.kept});
             }
