--- a/tests/quota_lease_processes.rs
+++ b/tests/quota_lease_processes.rs
@@ -11,10 +11,10 @@
 use serde_json::{json, Value};
 use std::collections::HashSet;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::Path;
 use std::process::Command;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -63,13 +63,18 @@
     })
 }
 
-/// Ports on loopback that were free a moment ago.
-fn free_tcp_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a port")
-}
-
-fn free_udp_address() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a port")
+/// Ports at which allocators listen, above which each adds its number.
+const SERVICE_PORT: u16 = 7_300;
+const FLEET_PORT: u16 = 7_946;
+
+/// An address on loopback that no other story has while this process runs.
+///
+/// Guards against ports that the system gives to somebody else while an allocator is down: connections that others open come
+/// from 127.0.0.1, where no allocator of these stories listens.
+fn own_host() -> Ipv4Addr {
+    static HOSTS: AtomicU8 = AtomicU8::new(0);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 1 + high % 250, low, 1 + HOSTS.fetch_add(1, Ordering::Relaxed))
 }
 
 /// Addresses of the allocators: for limiters, and for each other.
@@ -80,11 +85,9 @@
 
 impl Places {
     fn new() -> Self {
-        let all = 0..ALLOCATORS;
-        Self {
-            service: all.clone().map(|_| free_tcp_address()).collect(),
-            fleet: all.map(|_| free_udp_address()).collect(),
-        }
+        let host = own_host();
+        let from = |port: u16| (port..).take(ALLOCATORS as usize).map(|port| (host, port).into()).collect();
+        Self { service: from(SERVICE_PORT), fleet: from(FLEET_PORT) }
     }
 
     fn allocator_file(&self, number: u32) -> Value {
