Lab: least fallback part and spacing of reports as scenario keys, and what they change

Cause: half of the requests wait for an allocator at the target's size; whether trust in a least fallback part or wider spacing carries them could not be played. Change: `quota.fallback_least` and `quota.spacing_ms`, checked and named like the others.

--- a/lab/src/lease_mechanism.rs
+++ b/lab/src/lease_mechanism.rs
@@ -8,6 +8,7 @@
 use crate::quota_log::QuotaLog;
 use crate::quota_mechanism::QuotaMechanism;
 use crate::quota_network::{Changed, QuotaNetwork};
+use crate::scenario::Quota;
 use mossrill::interface::Micros;
 use mossrill::quota_lease::allocator::{Allocator, AllocatorSettings, Ownership};
 use mossrill::quota_lease::holder::{Answer, Holder, HolderSettings, Outcome, Take, Ticket};
@@ -62,10 +63,16 @@
         now: Micros,
         network: &QuotaNetwork,
         population: Arc<Population>,
-        (trust, seed): (bool, u64),
+        (quota, seed): (&Quota, u64),
     ) -> Self {
         let machines = network.machines();
-        let settings = HolderSettings { allocators: machines, trust, ..HolderSettings::default() };
+        let settings = HolderSettings {
+            allocators: machines,
+            trust: quota.trust,
+            fallback_least: (quota.fallback_least * MILLI).round() as u64,
+            spacing: (quota.spacing_ms * 1e3).round() as Micros,
+            ..HolderSettings::default()
+        };
         let limits = population.plans.iter().map(|plan| PlanLimits {
             rate: (plan.rate * MILLI).round() as u64,
             burst: (plan.burst * MILLI).round() as u64,
--- a/lab/src/quota_play.rs
+++ b/lab/src/quota_play.rs
@@ -119,7 +119,7 @@
                 Play::new(scenario, (population, network), counter, seed)?.play(quota, *mechanism)
             }
             Mechanism::Leases => {
-                let of = (quota.trust, seed);
+                let of = (quota, seed);
                 let leases = LeaseMechanism::new(START, &network, population.clone(), of);
                 Play::new(scenario, (population, network), leases, seed)?.play(quota, *mechanism)
             }
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -187,6 +187,17 @@
     /// With leases: a request that finds none takes units of the fallback part at once, in place of waiting.
     #[serde(default)]
     pub trust: bool,
+    /// With leases: the least number of units that a limiter's fallback part holds.
+    #[serde(default)]
+    pub fallback_least: f64,
+    /// With leases: reports for which requests wait go out no closer than this.
+    #[serde(default = "default_spacing_ms")]
+    pub spacing_ms: f64,
+}
+
+/// Closest reports, in milliseconds, where a scenario says nothing: as the holder has it.
+fn default_spacing_ms() -> f64 {
+    mossrill::quota_lease::holder::HolderSettings::default().spacing as f64 / 1e3
 }
 
 /// What keeps the quotas.
@@ -449,11 +460,15 @@
         for (key, value) in [
             ("quota.round_trip_ms", quota.round_trip_ms),
             ("quota.far_round_trip_ms", quota.far_round_trip_ms),
+            ("quota.spacing_ms", quota.spacing_ms),
         ] {
             if !value.is_finite() || value <= 0.0 {
                 return refuse(key, "must be above 0");
             }
         }
+        if !quota.fallback_least.is_finite() || quota.fallback_least < 0.0 {
+            return refuse("quota.fallback_least", "must be 0 or above");
+        }
     }
     let plays = [
         scenario.hollow.is_some(),
--- a/lab/tests/scenarios.rs
+++ b/lab/tests/scenarios.rs
@@ -131,6 +131,8 @@
         ("trafic.spread=5", "trafic"),
         ("traffic.spread", "KEY=VALUE"),
         ("quota.mechanisms=[\"luck\"]", "luck"),
+        ("quota.spacing_ms=0.0", "quota.spacing_ms"),
+        ("quota.fallback_least=-1.0", "quota.fallback_least"),
     ] {
         let fault = with(entry).expect_err("a bad value").to_string();
         assert!(fault.contains("short.toml") && fault.contains(key), "{entry}: {fault}");
