--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -7,7 +7,7 @@
 mod relay;
 mod rig;
 
-use mossrill::fleet::datagram::{Datagram, Key, Word, FORMAT};
+use mossrill::fleet::datagram::{Datagram, Word, FORMAT};
 use rig::{Plan, Rig};
 use std::net::UdpSocket;
 use std::thread;
@@ -229,8 +229,7 @@
 #[test]
 fn a_relay_passes_nothing_on_from_another_fleet_s_limiters() {
     let (small, large) = (relay::Relay::new(5, 1), relay::Relay::new(30, 2));
-    let secret: Vec<u8> = (0..16).map(|n| n * 0x11).collect();
-    let key = Key::new(&secret);
+    let key = relay::key();
     let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
     let send = |fleet: &str, from: u32| {
         let datagram = Datagram {
--- a/tests/fleet/relay.rs
+++ b/tests/fleet/relay.rs
@@ -14,6 +14,12 @@
 
 pub const SECRET: &str = "00112233445566778899aabbccddeeff";
 
+/// The key that [`SECRET`] words.
+pub fn key() -> Key {
+    let secret: Vec<u8> = (0..16).map(|n| n * 0x11).collect();
+    Key::new(&secret)
+}
+
 /// What happens to datagrams.
 pub struct Script {
     /// Which side each limiter is on: nothing passes from one side to another.
@@ -110,7 +116,7 @@
 
 impl Shared {
     fn take(&self, to: usize) {
-        let key = Key::new(&(0..16).map(|n| n * 0x11).collect::<Vec<u8>>());
+        let key = key();
         let mut bytes = [0; 512];
         while let Ok((size, at)) = self.sockets[to].recv_from(&mut bytes) {
             let Ok(datagram) = key.open(&self.fleet, &bytes[..size]) else { continue };
