--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Builds what the cases start. The programs are those of the deploy file; the stand-ins are Python
+# programs that need its standard library alone, so there is nothing of theirs to compile.
+set -eu
+cd "$(dirname "$0")/.."
+test -x target/release/mossrill || cargo build --release
+python3 -c 'import sys; assert sys.version_info >= (3, 11), "Python 3.11 is needed"'
+python3 -m py_compile review/lib/standins.py review/*/case.py
