--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 test -x target/release/mossrill || cargo build --release
-python3 -c 'import sys; assert sys.version_info >= (3, 11), "Python 3.11 is needed"'
-python3 -m py_compile review/lib/standins.py review/*/case.py
+python3 -c 'import sys; assert sys.version_info >= (3, 8), "Python 3.8 is needed"'
+for file in review/lib/*.py review/*/*.py; do
+    python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
+done
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -17,11 +17,13 @@
 
 
 def deploy_command():
-    """Returns the command that starts a limiter, from the deploy file."""
-    import tomllib
-
-    with open(os.path.join(ROOT, "deploy", "balancer.toml"), "rb") as file:
-        return tomllib.load(file)["run"]
+    """Returns the command that starts a limiter: the key `run` of the deploy file."""
+    with open(os.path.join(ROOT, "deploy", "balancer.toml"), encoding="utf-8") as file:
+        for line in file:
+            key, _, value = line.partition("=")
+            if key.strip() == "run":
+                return json.loads(value.strip())
+    raise CannotRun("the deploy file has no command to run")
 
 
 def raise_descriptor_limit():
