Bound the memory of unanswered requests where they are read

Cause: max_open was checked behind the core's unbounded queue, and each queued request held a buffer of 68 KiB whatever its length. memory_mb was not read.

Change: a memory budget, a quarter of memory_mb, is charged where a request is read and until its reply is written; a request that does not fit is rejected in its place among the replies. One connection may hold an eighth of what is free. Short commands and replies are held in buffers of their own length. Both fronts share this; in an upgrade each process has half.

--- a/src/client/accept.rs
+++ b/src/client/accept.rs
@@ -96,6 +96,7 @@
         let state = ConnectionState::new(origin);
         let connection = Arc::new(ClientConnection {
             stream,
+            memory: Arc::default(),
             state: Mutex::new(state),
             progress: Condvar::new(),
         });
--- a/src/client/connection.rs
+++ b/src/client/connection.rs
@@ -1,5 +1,6 @@
 //! The connection of a client: its pending replies, its activity and how it is closed.
 
+use super::memory_budget::{ConnectionMemory, MemoryCharge};
 use super::protocol::{ClientProtocol, Reply, ValueOf};
 use crate::metrics::InFlightRequest;
 use crate::threads::lock;
@@ -7,7 +8,7 @@
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::collections::VecDeque;
 use std::net::{Shutdown, TcpStream};
-use std::sync::{Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 /// A client that sent part of an incomplete command within this time counts as still sending it.
@@ -27,11 +28,16 @@
     pub(super) reply: Option<Reply<ValueOf<P>>>,
     /// Counts the request in the metrics when it ends; none for a direct reply.
     pub(super) in_flight: Option<InFlightRequest>,
+    /// Charge for the memory of the reply. None until the reply of a request is available, and for
+    /// a direct reply.
+    pub(super) memory: Option<MemoryCharge>,
 }
 
 /// A connection of a client.
 pub(super) struct ClientConnection<P: ClientProtocol> {
     pub(super) stream: TcpStream,
+    /// The memory that its unanswered requests hold.
+    pub(super) memory: Arc<ConnectionMemory>,
     pub(super) state: Mutex<ConnectionState<P>>,
     /// Notified when a reply was written, when the reader has ended and when the connection is
     /// closed.
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -12,6 +12,7 @@
 mod event;
 mod hand_over;
 pub mod interruptible;
+mod memory_budget;
 mod protocol;
 mod reader;
 mod session;
@@ -20,8 +21,9 @@
 
 pub use event::{ClientEvent, ClientEventSink, ClientRequest, Undelivered};
 pub use hand_over::ConnectionHandOver;
+pub use memory_budget::MemoryBudget;
 pub use protocol::{ClientProtocol, CloseReason, Reply, ReplySlot};
-pub use session::Session;
+pub use session::{ReplyReservation, Session};
 
 use crate::client::interruptible::ReadInterrupt;
 use crate::log_throttle::LogThrottle;
@@ -36,6 +38,26 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
+/// Options of a new [`ClientListener`].
+pub struct ClientListenerOptions<P: ClientProtocol> {
+    /// The protocol of the clients.
+    pub protocol: P,
+    /// Maximum number of connections.
+    pub max_connections: usize,
+    /// Interrupts readers for a hand-over; none if connections are never handed over.
+    pub read_interrupt: Option<ReadInterrupt>,
+    /// The memory that unanswered requests may hold.
+    pub memory_budget: Arc<MemoryBudget>,
+    /// Retry-After of requests that do not fit in the budget; zero if clients get none.
+    pub retry_after_when_full: Duration,
+    /// Receives the requests and the disconnects of clients.
+    pub events: ClientEventSink<P>,
+    /// Counts requests.
+    pub metrics: Arc<Metrics>,
+    /// Log for malformed commands and reached limits.
+    pub log: Logger,
+}
+
 /// Serves the clients of a limiter.
 pub struct ClientListener<P: ClientProtocol> {
     protocol: P,
@@ -48,6 +70,9 @@
     accept_paused: Mutex<bool>,
     /// Notified when accepting is paused or resumed.
     accept_resumed: Condvar,
+    memory_budget: Arc<MemoryBudget>,
+    /// See [`ClientListenerOptions::retry_after_when_full`].
+    retry_after_when_full: Duration,
     events: ClientEventSink<P>,
     metrics: Arc<Metrics>,
     /// Whether the limiter has an endpoint list.
@@ -67,37 +92,34 @@
     malformed_throttle: LogThrottle,
     /// Limits the rate of log lines about the connection limit.
     connection_limit_throttle: LogThrottle,
+    /// Limits the rate of log lines about the memory budget.
+    memory_budget_throttle: LogThrottle,
 }
 
 impl<P: ClientProtocol> ClientListener<P> {
-    /// Returns a front for at most `max_connections` connections that passes requests to `events`
-    /// and counts them in `metrics`.
-    pub fn new(
-        protocol: P,
-        max_connections: usize,
-        read_interrupt: Option<ReadInterrupt>,
-        events: ClientEventSink<P>,
-        metrics: Arc<Metrics>,
-        log: Logger,
-    ) -> Arc<Self> {
+    /// Returns a front without connections, which does not accept any yet.
+    pub fn new(options: ClientListenerOptions<P>) -> Arc<Self> {
         Arc::new(Self {
-            protocol,
-            max_connections: AtomicUsize::new(max_connections),
-            read_interrupt,
+            protocol: options.protocol,
+            max_connections: AtomicUsize::new(options.max_connections),
+            read_interrupt: options.read_interrupt,
             hand_over_to: Mutex::default(),
             accept_paused: Mutex::default(),
             accept_resumed: Condvar::new(),
-            events,
-            metrics,
+            memory_budget: options.memory_budget,
+            retry_after_when_full: options.retry_after_when_full,
+            events: options.events,
+            metrics: options.metrics,
             ready: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             next_number: AtomicU64::new(0),
             connections: Mutex::default(),
             connection_ended: Condvar::new(),
             connection_opened: Condvar::new(),
-            log,
+            log: options.log,
             malformed_throttle: LogThrottle::default(),
             connection_limit_throttle: LogThrottle::default(),
+            memory_budget_throttle: LogThrottle::default(),
         })
     }
 
@@ -126,6 +148,11 @@
             .store(max_connections, Ordering::Relaxed);
     }
 
+    /// Sets whether another process of this limiter holds requests too, as during an upgrade.
+    pub fn set_memory_shared(&self, is_shared: bool) {
+        self.memory_budget.set_shared(is_shared);
+    }
+
     /// Whether no connection is open.
     pub fn is_empty(&self) -> bool {
         lock(&self.connections).is_empty()
--- a/src/client/protocol.rs
+++ b/src/client/protocol.rs
@@ -22,6 +22,9 @@
     /// Returns the last reply on a connection that the limiter closes for this reason.
     fn closing_reply(&self, reason: CloseReason) -> (Self::ReplyContext, Vec<u8>);
 
+    /// Returns how many bytes a value holds until it is written.
+    fn held_bytes(value: &ValueOf<Self>) -> usize;
+
     /// Writes an answer. Returns false if the connection is to be closed after it.
     ///
     /// # Errors
--- a/src/client/session.rs
+++ b/src/client/session.rs
@@ -3,11 +3,14 @@
 
 use super::connection::{ClientConnection, PendingReply};
 use super::event::{ClientEvent, ClientRequest};
+use super::memory_budget::MemoryCharge;
 use super::protocol::{ClientProtocol, CloseReason, Reply, ReplySlot, ValueOf};
 use super::watchdog::COMMAND_TIMEOUT;
 use super::ClientListener;
+use crate::core::Answer;
+use crate::metrics::InFlightRequest;
 use crate::threads::lock;
-use slog::info;
+use slog::{info, warn};
 use std::io::Write;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -17,6 +20,21 @@
 /// Maximum number of commands of one connection whose reply has not been written.
 const MAX_PIPELINED_COMMANDS: usize = 64;
 
+/// Result of the reservation of a reply for a request.
+pub enum ReplyReservation<V> {
+    /// The request is to be submitted with this number and slot.
+    Reserved {
+        /// Number of the request, unique in this process.
+        number: u64,
+        /// Slot for its reply.
+        slot: ReplySlot<V>,
+    },
+    /// The limiter has no memory for the request, which was rejected. The next one may be read.
+    Rejected,
+    /// The connection is closing, and the command is to be ignored.
+    Closing,
+}
+
 /// Receives the commands that a [`ClientProtocol`] reads from one connection.
 pub struct Session<'a, P: ClientProtocol> {
     pub(super) front: &'a Arc<ClientListener<P>>,
@@ -25,46 +43,95 @@
 }
 
 impl<P: ClientProtocol> Session<'_, P> {
-    /// Reserves the next reply for a request of this class. Returns the number of the request and
-    /// the slot for its reply, or none if the connection is closing and the command is to be
-    /// ignored.
+    /// Reserves the next reply for a request of this class, which holds `bytes` until it is
+    /// answered.
     pub fn reserve_reply(
         &self,
         context: P::ReplyContext,
         class: usize,
-    ) -> Option<(u64, ReplySlot<ValueOf<P>>)> {
+        bytes: usize,
+    ) -> ReplyReservation<ValueOf<P>> {
         if self.connection.disconnected_while_paused() {
-            return None;
+            return ReplyReservation::Closing;
         }
-        let number = self.front.next_number.fetch_add(1, Ordering::Relaxed);
-        let unanswered = self.connection.begin_command()?;
-        let in_flight = Some(self.front.metrics.begin_request(class));
+        let Some(unanswered) = self.connection.begin_command() else {
+            return ReplyReservation::Closing;
+        };
+        let in_flight = self.front.metrics.begin_request(class);
         if unanswered > MAX_PIPELINED_COMMANDS {
             self.close_with_reason(CloseReason::TooMany);
-            return None;
+            return ReplyReservation::Closing;
+        }
+        let budget = &self.front.memory_budget;
+        match budget.charge(&self.connection.memory, bytes) {
+            Some(memory) => self.reserve(context, in_flight, memory),
+            None => self.reject(context, in_flight),
         }
+    }
+
+    fn reserve(
+        &self,
+        context: P::ReplyContext,
+        in_flight: InFlightRequest,
+        memory: MemoryCharge,
+    ) -> ReplyReservation<ValueOf<P>> {
+        let number = self.front.next_number.fetch_add(1, Ordering::Relaxed);
         let mut state = lock(&self.connection.state);
         state.has_requested = true;
         state.replies.push_back(PendingReply {
             request: Some(number),
             context,
             reply: None,
-            in_flight,
+            in_flight: Some(in_flight),
+            memory: None,
         });
         drop(state);
-        Some((number, self.reply_slot(number)))
+        let slot = self.reply_slot(number, memory);
+        ReplyReservation::Reserved { number, slot }
+    }
+
+    /// Rejects a request that the limiter has no memory for. It is answered without the core, whose
+    /// queue would hold it meanwhile. Nothing has run, so the rejection is harmless.
+    fn reject(
+        &self,
+        context: P::ReplyContext,
+        in_flight: InFlightRequest,
+    ) -> ReplyReservation<ValueOf<P>> {
+        if let Some(suppressed) = self.front.memory_budget_throttle.permit() {
+            warn!(self.front.log, "no memory for a request"; "suppressed" => suppressed);
+        }
+        let answer = Answer::Rejected {
+            retry_after: self.front.retry_after_when_full,
+            timed_out: false,
+        };
+        let mut state = lock(&self.connection.state);
+        state.has_requested = true;
+        state.replies.push_back(PendingReply {
+            request: None,
+            context,
+            reply: Some(Reply::Answer(answer)),
+            in_flight: Some(in_flight),
+            memory: None,
+        });
+        self.front.start_writer(self.number, self.connection, state);
+        ReplyReservation::Rejected
     }
 
-    /// Returns the slot for the pending reply to this request.
-    fn reply_slot(&self, request: u64) -> ReplySlot<ValueOf<P>> {
+    /// Returns the slot for the pending reply to this request. The charge is held by the slot, and
+    /// then by the reply until it is written.
+    fn reply_slot(&self, request: u64, mut memory: MemoryCharge) -> ReplySlot<ValueOf<P>> {
         let front = self.front.clone();
         let connection = self.connection.clone();
         let connection_number = self.number;
         let fill = move |reply| {
+            if let Reply::Answer(Answer::Served(value)) = &reply {
+                memory.cover_reply(P::held_bytes(value));
+            }
             let mut state = lock(&connection.state);
             let mut replies = state.replies.iter_mut();
             if let Some(pending) = replies.find(|pending| pending.request == Some(request)) {
                 pending.reply = Some(reply);
+                pending.memory = Some(memory);
             }
             front.start_writer(connection_number, &connection, state);
         };
@@ -125,6 +192,7 @@
                     context,
                     reply: Some(reply),
                     in_flight: None,
+                    memory: None,
                 });
                 self.front.start_writer(self.number, self.connection, state);
                 true
--- a/src/client/writer.rs
+++ b/src/client/writer.rs
@@ -1,6 +1,7 @@
 //! The thread that writes the replies of a connection, in the order of its commands.
 
 use super::connection::{ClientConnection, ConnectionState, PendingReply};
+use super::memory_budget::MemoryCharge;
 use super::protocol::{ClientProtocol, Reply, ValueOf};
 use super::reader::CLOSE_LINGER;
 use super::ClientListener;
@@ -29,6 +30,8 @@
     context: P::ReplyContext,
     reply: Reply<ValueOf<P>>,
     in_flight: Option<InFlightRequest>,
+    /// Dropped once the reply was written.
+    _memory: Option<MemoryCharge>,
 }
 
 impl<P: ClientProtocol> ClientListener<P> {
@@ -130,11 +133,13 @@
                 context,
                 reply: Some(reply),
                 in_flight,
+                memory,
             }) => NextReply::Ready(ReadyReply {
                 request,
                 context,
                 reply,
                 in_flight,
+                _memory: memory,
             }),
             Some(unanswered) => {
                 state.replies.push_front(unanswered);
--- a/src/config/openapi.rs
+++ b/src/config/openapi.rs
@@ -2,7 +2,8 @@
 
 use super::accounts::{read_accounts, read_plan, AccountConfig, NamedPlan};
 use super::common::{
-    bounded_descriptors, bounded_open_requests, MAX_DESCRIPTORS, MAX_OPEN_REQUESTS,
+    bounded_descriptors, bounded_open_requests, request_memory, MAX_DESCRIPTORS, MAX_MEMORY_MIB,
+    MAX_OPEN_REQUESTS,
 };
 use super::decision::check_settings;
 use super::membership::{read_membership, Member};
@@ -178,6 +179,7 @@
         seed,
         max_descriptors: bounded_descriptors(limits.integer_or("sockets", MAX_DESCRIPTORS)?),
         max_open_requests: bounded_open_requests(limits.integer_or("max_open", MAX_OPEN_REQUESTS)?),
+        max_request_bytes: request_memory(limits.number_or("memory_mb", MAX_MEMORY_MIB)?),
         connections,
         settings,
         initial_endpoints: EndpointUpdate {
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -1,7 +1,8 @@
 //! Reads the configuration of a limiter on the platform.
 
 use super::common::{
-    bounded_descriptors, bounded_open_requests, MAX_DESCRIPTORS, MAX_OPEN_REQUESTS,
+    bounded_descriptors, bounded_open_requests, request_memory, MAX_DESCRIPTORS, MAX_MEMORY_MIB,
+    MAX_OPEN_REQUESTS,
 };
 use super::decision::check_settings;
 use super::endpoints::read_endpoint_update;
@@ -69,9 +70,9 @@
 fn read_platform(root: &Section<'_>) -> Result<PlatformConfig, ConfigError> {
     let section = root.section("settings");
     let settings = read_settings(root)?;
-    let sockets = root
-        .section("limits")
-        .integer_or("sockets", MAX_DESCRIPTORS)?;
+    let machine_limits = root.section("limits");
+    let sockets = machine_limits.integer_or("sockets", MAX_DESCRIPTORS)?;
+    let memory_mib = machine_limits.number_or("memory_mb", MAX_MEMORY_MIB)?;
     let seed = root.optional("seed", 0, "16 hex digits", |value| {
         u64::from_str_radix(value.as_str()?, 16).ok()
     })?;
@@ -99,6 +100,7 @@
             seed,
             max_descriptors: bounded_descriptors(sockets),
             max_open_requests: bounded_open_requests(max_open),
+            max_request_bytes: request_memory(memory_mib),
             connections,
             settings,
             initial_endpoints,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -43,6 +43,13 @@
 
 /// Maximum Retry-After of requests that are rejected because too many requests are open.
 const MAX_RETRY_AFTER_WHEN_FULL: Duration = Duration::from_millis(500);
+
+/// Returns the Retry-After of requests that are rejected because too many requests are open, or
+/// because they need more memory than is left. Zero if clients get none.
+pub fn retry_after_when_full(settings: &Settings) -> Duration {
+    MAX_RETRY_AFTER_WHEN_FULL.min(Duration::from_micros(settings.limits.max_retry_after))
+}
+
 /// Minimum timeout of a counter call, in microseconds.
 const MIN_COUNTER_TIMEOUT: Micros = 1_000;
 
@@ -117,7 +124,6 @@
 
 impl RequestRules {
     fn new(settings: &Settings) -> Self {
-        let max_retry_after = Duration::from_micros(settings.limits.max_retry_after);
         Self {
             idempotent_classes: settings
                 .classes
@@ -125,7 +131,7 @@
                 .map(|class| class.idempotency == Idempotency::Idempotent)
                 .collect(),
             max_attempts: settings.limits.max_attempts.max(1) as usize,
-            retry_after_when_full: MAX_RETRY_AFTER_WHEN_FULL.min(max_retry_after),
+            retry_after_when_full: retry_after_when_full(settings),
         }
     }
 
--- a/src/openapi/client_protocol.rs
+++ b/src/openapi/client_protocol.rs
@@ -2,12 +2,14 @@
 
 use super::reply::{write_response, Problem, ReplyContext};
 use crate::client::interruptible::InterruptibleReader;
-use crate::client::{ClientProtocol, CloseReason, Reply, Session};
+use crate::client::{ClientProtocol, CloseReason, Reply, ReplyReservation, Session};
 use crate::config::AccountConfig;
 use crate::core::{Answer, IncomingRequest};
 use crate::decision::AccountId;
 use crate::openapi::description::{Description, Operation, OperationMatch};
-use crate::openapi::upstream_protocol::{HttpRequest, HttpResponse, HttpUpstreamProtocol};
+use crate::openapi::upstream_protocol::{
+    HttpBody, HttpRequest, HttpResponse, HttpUpstreamProtocol,
+};
 use crate::protocol::http::{header, Body, ReadError, Reader, RequestHead};
 use std::collections::HashMap;
 use std::io::{self, Write};
@@ -33,6 +35,15 @@
     received_at: Instant,
 }
 
+impl ReceivedRequest {
+    /// Returns how many bytes the request holds until it is answered.
+    fn held_bytes(&self) -> usize {
+        let headers = self.head.headers.iter();
+        let header_bytes: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+        self.head.target.len() + header_bytes + self.body.len()
+    }
+}
+
 /// The operation that a request calls, and the account that it is charged to.
 struct RequestTarget<'a> {
     operation: &'a Operation,
@@ -79,6 +90,13 @@
         (ReplyContext::CLOSING, text)
     }
 
+    fn held_bytes(response: &HttpResponse) -> usize {
+        match &response.body {
+            HttpBody::Complete(body) => body.len(),
+            HttpBody::Streamed(_) => 0,
+        }
+    }
+
     fn write(
         &self,
         mut client: &TcpStream,
@@ -139,8 +157,11 @@
     ) -> NextRequest {
         let next = next_request(context.keep_alive);
         let operation = target.operation;
-        let Some((number, client)) = session.reserve_reply(context, operation.class) else {
-            return NextRequest::Stop;
+        let bytes = request.held_bytes();
+        let (number, client) = match session.reserve_reply(context, operation.class, bytes) {
+            ReplyReservation::Reserved { number, slot } => (number, slot),
+            ReplyReservation::Rejected => return next,
+            ReplyReservation::Closing => return NextRequest::Stop,
         };
         session.submit(IncomingRequest {
             number,
--- a/src/platform/client_protocol.rs
+++ b/src/platform/client_protocol.rs
@@ -48,6 +48,13 @@
         ((), reply.into_bytes())
     }
 
+    fn held_bytes(value: &Served) -> usize {
+        match value {
+            Served::Whole { buffer, .. } => buffer.len(),
+            Served::Streamed(_) => 0,
+        }
+    }
+
     fn write(&self, mut to: &TcpStream, (): (), answer: Answer<Served>) -> io::Result<bool> {
         match answer {
             Answer::Served(Served::Streamed(value)) => value.copy_to_client(to)?,
--- a/src/platform/command_reader.rs
+++ b/src/platform/command_reader.rs
@@ -1,12 +1,12 @@
 //! Reads the commands of one client connection and submits their requests.
 
 use crate::client::interruptible::InterruptibleReader;
-use crate::client::{Reply, Session};
+use crate::client::{Reply, ReplyReservation, Session};
 use crate::core::IncomingRequest;
 use crate::platform::client_protocol::PlatformClientProtocol;
 use crate::platform::command::{CommandError, RequestCommand};
 use crate::platform::upstream_protocol::{PlatformCall, Served, FIELDS_INDEX};
-use crate::protocol::buffers::{Buffer, BUFFER_BYTES};
+use crate::protocol::buffers::{Buffer, BUFFER_BYTES, SMALL_BUFFER_BYTES};
 use crate::protocol::resp;
 use std::io;
 use std::ops::{ControlFlow, Range};
@@ -176,10 +176,24 @@
         arrived: Instant,
     ) -> ControlFlow<()> {
         self.rejected_commands = 0;
-        let Some((number, client)) = self.session.reserve_reply((), command.class) else {
-            return ControlFlow::Break(());
+        let text = words[0].start..words[words.len() - 1].end;
+        let is_small = text.len() <= SMALL_BUFFER_BYTES;
+        let held_bytes = if is_small { text.len() } else { BUFFER_BYTES };
+        let reservation = self.session.reserve_reply((), command.class, held_bytes);
+        let (number, client) = match reservation {
+            ReplyReservation::Reserved { number, slot } => (number, slot),
+            ReplyReservation::Rejected => return ControlFlow::Continue(()),
+            ReplyReservation::Closing => return ControlFlow::Break(()),
+        };
+        let call = if is_small {
+            self.copy_call(text, words, command.deadline_at)
+        } else {
+            PlatformCall {
+                buffer: self.take_buffer(),
+                words,
+                deadline_at: command.deadline_at,
+            }
         };
-        let buffer = self.take_buffer();
         self.session.submit(IncomingRequest {
             number,
             id: Some(command.id),
@@ -192,22 +206,36 @@
             limiter_count: command.limiter_count,
             first_limiter: command.first_limiter,
             client,
-            call: PlatformCall {
-                buffer,
-                words,
-                deadline_at: command.deadline_at,
-            },
+            call,
         });
         ControlFlow::Continue(())
     }
 
+    /// Copies the words of a small command, which are within the range `text`, to a buffer of their
+    /// own.
+    fn copy_call(
+        &self,
+        text: Range<usize>,
+        words: Vec<Range<usize>>,
+        deadline_at: Range<usize>,
+    ) -> PlatformCall {
+        let moved = |range: Range<usize>| range.start - text.start..range.end - text.start;
+        let mut buffer = Buffer::with_room_for(text.len());
+        buffer.copy_from_slice(&self.buffer[text.clone()]);
+        PlatformCall {
+            buffer,
+            words: words.into_iter().map(moved).collect(),
+            deadline_at: moved(deadline_at),
+        }
+    }
+
     /// Takes the buffer that contains the last processed command, as the command is forwarded from
     /// there. The unprocessed bytes are copied to a new buffer.
     fn take_buffer(&mut self) -> Buffer {
         let mut remaining = Buffer::empty();
         let unprocessed = self.unprocessed();
         if !unprocessed.is_empty() {
-            remaining = Buffer::take();
+            remaining = Buffer::with_room_for(unprocessed.len().max(SMALL_BUFFER_BYTES));
             remaining[..unprocessed.len()].copy_from_slice(unprocessed);
         }
         self.end -= self.start;
--- a/src/platform/upstream_protocol.rs
+++ b/src/platform/upstream_protocol.rs
@@ -17,6 +17,9 @@
 const SERVED_PREFIX: &[u8] = b"*3\r\n";
 /// Index of the load report in that array.
 const LOAD_REPORT_INDEX: usize = 2;
+/// Upper bound of the bytes that a word of an encoded command needs besides its own: its length
+/// line, its line end and the additional digits of a longer deadline.
+const MAX_FRAMING_BYTES: usize = 32;
 /// Index of the command word that holds the fields.
 pub const FIELDS_INDEX: usize = 3;
 /// Time without received bytes after which an upstream server that streams a value is considered to
@@ -42,6 +45,12 @@
 }
 
 impl PlatformCall {
+    /// Returns an upper bound of the length of the encoded command, in bytes.
+    fn max_encoded_bytes(&self) -> usize {
+        let words = self.words.iter().map(|word| word.len() + MAX_FRAMING_BYTES);
+        words.sum::<usize>() + MAX_FRAMING_BYTES
+    }
+
     /// Writes the command with `time_left` as its deadline. Returns the number of bytes written.
     fn encode(&self, mut to: &mut [u8], time_left: Duration) -> io::Result<usize> {
         let capacity = to.len();
@@ -93,7 +102,7 @@
         mut to: &TcpStream,
         time_left: Duration,
     ) -> io::Result<()> {
-        let mut command = Buffer::take();
+        let mut command = Buffer::with_room_for(call.max_encoded_bytes());
         let size = call.encode(&mut command, time_left)?;
         to.write_all(&command[..size])
     }
--- a/src/process/assembly.rs
+++ b/src/process/assembly.rs
@@ -7,11 +7,11 @@
 use super::upgrade::{UpgradeChannel, UpgradeControl};
 use super::Limiter;
 use crate::admin::line::{self, AdminContext};
-use crate::client::{ClientListener, ClientProtocol};
+use crate::client::{ClientListener, ClientListenerOptions, ClientProtocol, MemoryBudget};
 use crate::clock::Clock;
 use crate::config::CommonConfig;
 use crate::config::QuotaLeaseConfig;
-use crate::core::{Command, Core, CoreOptions};
+use crate::core::{retry_after_when_full, Command, Core, CoreOptions};
 use crate::counter::{CounterClient, CounterReplyHandler};
 use crate::decision::{QuotaShares, RequestClass, UpdateScope};
 use crate::handover::{LimiterProcess, UpgradeCoordinator};
@@ -54,7 +54,7 @@
         let mut channel = assembly.open_upgrade_channel(&mut common);
         let upstream = assembly.upstream_pool(&common, upstream_protocol);
         let counter = counter(assembly.queue.counter_replies())?;
-        let front = assembly.front(client_protocol, &mut channel);
+        let front = assembly.front(&common, client_protocol, &mut channel);
         let connections = Connections {
             upstream,
             counter,
@@ -144,15 +144,23 @@
         })
     }
 
-    fn front(&self, protocol: P, channel: &mut UpgradeChannel) -> Arc<ClientListener<P>> {
-        ClientListener::new(
+    fn front(
+        &self,
+        common: &CommonConfig,
+        protocol: P,
+        channel: &mut UpgradeChannel,
+    ) -> Arc<ClientListener<P>> {
+        let memory_budget = MemoryBudget::new(common.max_request_bytes, common.max_open_requests);
+        ClientListener::new(ClientListenerOptions {
             protocol,
-            self.limits.clients(false),
-            channel.read_interrupt.take(),
-            self.queue.client_events::<P>(),
-            self.metrics.clone(),
-            self.component_log("clients"),
-        )
+            max_connections: self.limits.clients(false),
+            read_interrupt: channel.read_interrupt.take(),
+            memory_budget,
+            retry_after_when_full: retry_after_when_full(&common.settings),
+            events: self.queue.client_events::<P>(),
+            metrics: self.metrics.clone(),
+            log: self.component_log("clients"),
+        })
     }
 
     /// Starts the listeners and the services that run alongside them.
--- a/src/process/upgrade.rs
+++ b/src/process/upgrade.rs
@@ -129,6 +129,7 @@
 
     fn set_sharing(&self, shared: bool) {
         self.front.set_max_connections(self.limits.clients(shared));
+        self.front.set_memory_shared(shared);
         self.upstream
             .set_max_connections(self.limits.upstream(shared));
     }
--- a/tests/openapi.rs
+++ b/tests/openapi.rs
@@ -392,3 +392,21 @@
         assert!(!is_complete || half.iter().all(|byte| *byte == b'b'));
     }
 }
+
+/// Guards against a front that queues requests beyond the memory limit, as the platform's once did.
+#[test]
+fn request_that_exceeds_the_memory_budget_is_rejected_and_the_next_one_served() {
+    let (server, received) = scripted_server(&[]);
+    let mut configuration = configuration(&[server], json!({"kind": "none"}));
+    configuration["limits"]["memory_mb"] = json!(1);
+    let limiter = start_openapi_limiter(&configuration, DESCRIPTION);
+    let mut client = Client::connect(&limiter);
+    let body = "b".repeat(60 * 1024);
+    let rejected = exchange(&mut client, &request(HOLD_SEATS, KEY_HEADER, &body));
+    let served = exchange(&mut client, &request(HOLD_SEATS, KEY_HEADER, "two"));
+    assert!(rejected.starts_with("HTTP/1.1 429 "), "got {rejected}");
+    assert!(rejected.contains("Retry-After: "), "got {rejected}");
+    assert!(served.starts_with("HTTP/1.1 200 "), "got {served}");
+    let received = received.lock().expect("the request log is not poisoned");
+    assert_eq!(received.len(), 1, "got {received:?}");
+}
--- a/tests/peers/program.rs
+++ b/tests/peers/program.rs
@@ -201,6 +201,17 @@
         )
     }
 
+    /// Returns the anonymous memory that the process uses, in kB.
+    pub fn anonymous_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))
+            .expect("the process exists");
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("RssAnon:"));
+        line.and_then(|text| text.trim().split(' ').next()?.parse().ok())
+            .expect("the process has an anonymous memory in kB")
+    }
+
     /// Returns the process id.
     pub fn process_id(&self) -> u32 {
         self.child.id()
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,5 +7,6 @@
 mod configuration;
 mod connections;
 mod malformed;
+mod memory;
 mod requests;
 mod support;
