Free the slots of a predecessor that was killed with attempts out

Cause: the successor counts the predecessor's attempts until each end or the final report is told; a killed process tells neither.

Change: the end of the connection to the predecessor ends its remaining attempts.

The new test fails without the change: -BUSY 200 in place of the value.

--- a/src/core/commands.rs
+++ b/src/core/commands.rs
@@ -39,6 +39,8 @@
     AdoptState(LearnedState, Sender<()>),
     /// Handle a message of the other process.
     PeerMessage(HandoverMessage),
+    /// The predecessor no longer exists, so all of its attempts have ended.
+    PredecessorGone,
     /// End once the open requests and counter calls have ended; a successor serves.
     Finish,
 }
--- a/src/core/upgrade.rs
+++ b/src/core/upgrade.rs
@@ -47,6 +47,7 @@
                 _ = reply.try_send(());
             }
             HandOverCommand::PeerMessage(message) => self.handle_peer_message(now, message),
+            HandOverCommand::PredecessorGone => self.end_predecessor_attempts(),
             HandOverCommand::Finish => self.upgrade.finishing = true,
         }
     }
@@ -68,6 +69,14 @@
         self.upgrade.predecessor_attempts = self.engine.adopt_state(now, state);
     }
 
+    fn end_predecessor_attempts(&mut self) {
+        for (account, running) in take(&mut self.upgrade.predecessor_attempts) {
+            for _ in 0..running {
+                self.engine.predecessor_attempt_ended(&account);
+            }
+        }
+    }
+
     fn handle_peer_message(&mut self, now: Micros, message: HandoverMessage) {
         match message {
             HandoverMessage::Ban(ban) => self.adopt_ban(now, &ban),
@@ -80,12 +89,8 @@
                 }
             }
             HandoverMessage::FinalReport(report) => {
-                // The predecessor exits after this report, so all of its attempts have ended.
-                for (account, running) in take(&mut self.upgrade.predecessor_attempts) {
-                    for _ in 0..running {
-                        self.engine.predecessor_attempt_ended(&account);
-                    }
-                }
+                // The predecessor exits after this report.
+                self.end_predecessor_attempts();
                 self.engine.add_unreported_units(report);
             }
             // The other messages are handled by the upgrade coordinator.
--- a/src/handover/limiter_process.rs
+++ b/src/handover/limiter_process.rs
@@ -34,6 +34,8 @@
     fn process_message(&self, message: HandoverMessage);
     /// Sets whether the connection limits are shared with another process.
     fn set_sharing(&self, shared: bool);
+    /// Ends all attempts of the predecessor, which no longer exists.
+    fn predecessor_ended(&self);
     /// Whether this process has no client connection and no open request.
     fn is_drained(&self) -> bool;
     /// Ends this process.
--- a/src/handover/successor.rs
+++ b/src/handover/successor.rs
@@ -129,6 +129,7 @@
                 Step::ServeAlone(failure) => self.serve_alone(failure),
                 Step::EndSharing => {
                     self.process.set_sharing(false);
+                    self.process.predecessor_ended();
                     info!(self.coordinator.log, "upgrade: predecessor has ended");
                 }
                 // Steps of a predecessor, which this state machine does not return.
--- a/src/process/upgrade.rs
+++ b/src/process/upgrade.rs
@@ -134,6 +134,10 @@
             .set_max_connections(self.limits.upstream(shared));
     }
 
+    fn predecessor_ended(&self) {
+        self.send_command(HandOverCommand::PredecessorGone);
+    }
+
     fn is_drained(&self) -> bool {
         self.front.is_empty() && self.metrics.in_flight() == 0
     }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -386,6 +386,34 @@
     assert_eq!(client.read_reply(), "gets-a-slot");
 }
 
+/// Guards against attempts of a killed predecessor that hold their account's slots for good. A long
+/// value may go on until the predecessor is killed, which then sends no final report.
+#[test]
+fn attempts_of_a_killed_predecessor_hold_no_concurrency_slot() {
+    let (server, seen) = start_resp_peer(|_, words| match &*words[2] {
+        "held" => PeerAction::Hang,
+        id => served_reply(id),
+    });
+    let folder = Folder::new("killed-slots");
+    let mut config = settings(silent_discovery(), quota_counter().0, &[("s-1", server)]);
+    config["control"] = "127.0.0.1:0".into();
+    config["settings"]["tariffs"][0]["parallel"] = 1.into();
+    let mut predecessor = start(&folder.0, "killed-slots-old", &config);
+    predecessor.call_until("ready", "YES");
+    config["listen"] = predecessor.client_address.to_string().into();
+    let mut held = Client::connect_when_ready_at(predecessor.client_address);
+    held.send_request("pay", "held", 1900);
+    next_command(&seen);
+    let mut successor = start(&folder.0, "killed-slots-new", &config);
+    successor.call_until("ready", "YES");
+    predecessor.signal("KILL");
+    predecessor.wait_for_exit();
+    successor.wait_for_log("upgrade: predecessor has ended");
+    let mut client = Client::connect_when_ready_at(successor.client_address);
+    client.send_request("look", "gets-a-slot", 1500);
+    assert_eq!(client.read_reply(), "gets-a-slot");
+}
+
 #[test]
 fn limiter_serves_without_a_folder_a_socket_or_an_answering_predecessor() {
     let (server, _seen) = start_resp_peer(|_, words| served_reply(&words[2]));
