Pass values on whole when a shutdown reaches its deadline

Cause: the shutdown's timer ended every open request, those with a streamed response too, and the process waited 0.15 s for the last replies.

Change: at the deadline requests without a response are failed and later ones rejected; the core runs on until no response is streamed, and the process until the replies behind them are written. Both fronts share this.

--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -35,9 +35,12 @@
 use std::io;
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
+/// Interval at which pending replies are checked when the limiter is about to exit.
+const REPLIES_WRITTEN_POLL: Duration = Duration::from_millis(20);
+
 /// Options of a new [`ClientListener`].
 pub struct ClientListenerOptions<P: ClientProtocol> {
     /// The protocol of the clients.
@@ -207,6 +210,21 @@
             .wait_timeout_while(connections, timeout, |connections| !connections.is_empty());
     }
 
+    /// Waits until no reply is pending on any connection, while clients read their replies. The
+    /// write timeout ends the connections of those that do not.
+    pub fn wait_replies_written(&self) {
+        let mut connections = lock(&self.connections);
+        let has_replies =
+            |connection: &Arc<ClientConnection<P>>| lock(&connection.state).has_replies_to_write();
+        while connections.values().any(has_replies) {
+            connections = self
+                .connection_ended
+                .wait_timeout(connections, REPLIES_WRITTEN_POLL)
+                .unwrap_or_else(PoisonError::into_inner)
+                .0;
+        }
+    }
+
     /// Reports the open requests of a connection as abandoned, closes the connection and removes
     /// it.
     fn close_connection(&self, number: u64, connection: &ClientConnection<P>) {
--- a/src/core/deadlines.rs
+++ b/src/core/deadlines.rs
@@ -17,7 +17,7 @@
     Request(u64),
     /// The timeout of the counter call with this number.
     CounterCall(u64),
-    /// The shutdown deadline, at which requests that are still open are failed.
+    /// The shutdown deadline, at which open requests without a response are failed.
     Shutdown,
 }
 
@@ -67,13 +67,19 @@
         self.complete_attempt(now, attempt, running, response);
     }
 
+    /// Fails the open requests that have no response yet. Responses that are being streamed go on:
+    /// they have no time limit, and what the process's end may cut off need not be cut off before.
     fn expire_shutdown(&mut self, now: Micros) {
         self.phase = Phase::Stopped;
         let open = self.requests.numbers();
-        if !open.is_empty() {
-            warn!(self.log, "shutdown deadline reached"; "open" => open.len());
+        let (streamed, unanswered): (Vec<_>, Vec<_>) = open
+            .into_iter()
+            .partition(|number| self.response_stream(*number).is_some());
+        if !streamed.is_empty() || !unanswered.is_empty() {
+            warn!(self.log, "shutdown deadline reached";
+                "open" => unanswered.len(), "streamed" => streamed.len());
         }
-        for number in self.unforwarded_first(open) {
+        for number in self.unforwarded_first(unanswered) {
             self.expire_request(now, number);
         }
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -107,7 +107,8 @@
     Serving,
     /// The core ends once no client is connected and nothing is open.
     Draining,
-    /// The shutdown deadline has passed.
+    /// The shutdown deadline has passed: the core ends once no response is being streamed, and
+    /// rejects new requests.
     Stopped,
 }
 
@@ -210,7 +211,8 @@
     }
 
     /// Whether the loop must continue. It runs until the last client connection is closed, as a
-    /// request may still arrive on each. A predecessor has handed its connections over, but waits
+    /// request may still arrive on each, and after the shutdown deadline until the last response is
+    /// streamed. A predecessor has handed its connections over, but waits
     /// for its last counter calls as well, because units that these calls failed to add are part of
     /// its final report.
     fn must_continue(&self) -> bool {
@@ -224,7 +226,7 @@
                     || !self.requests.is_empty()
                     || self.transport.has_clients()
             }
-            Phase::Stopped => false,
+            Phase::Stopped => !self.requests.is_empty(),
         }
     }
 }
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -3,7 +3,7 @@
 use super::deadlines::Deadline;
 use super::messages::{Answer, AttemptId, IncomingRequest, Transport};
 use super::open_requests::{request_id, OpenRequest, ResponseStream};
-use super::Core;
+use super::{Core, Phase};
 use crate::decision::{Event, Micros, Request};
 use slog::{info, warn};
 use std::sync::Arc;
@@ -11,10 +11,14 @@
 impl<T: Transport> Core<T> {
     /// Opens a request, unless too many requests or one with the same client id are open already.
     pub(super) fn admit(&mut self, now: Micros, incoming: IncomingRequest<T::Client, T::Call>) {
-        // Bounds the memory that requests use. Nothing has run yet, so the rejection is harmless.
+        // Nothing has run yet, so these rejections are harmless. The first one bounds the memory
+        // that requests use.
         if self.requests.is_full() {
             return self.reject_when_full(incoming.client);
         }
+        if self.phase == Phase::Stopped {
+            return self.reject_unforwarded(incoming.client);
+        }
         // Upstream servers would mistake the request for the open request of another client.
         if !self.requests.reserve_client_id(incoming.id.as_ref()) {
             return self.fail_duplicate(incoming.client);
@@ -46,6 +50,10 @@
             warn!(self.log, "too many open requests";
                 "open" => self.requests.len(), "suppressed" => suppressed);
         }
+        self.reject_unforwarded(client);
+    }
+
+    fn reject_unforwarded(&mut self, client: T::Client) {
         let answer = Answer::Rejected {
             retry_after: self.rules.retry_after_when_full,
             timed_out: false,
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -91,10 +91,12 @@
     }
 
     /// Runs the core on this thread until it is stopped. Then waits until the last replies are
-    /// written, and sends the final report to a successor, if there is one.
+    /// written, however slowly the clients read them, and sends the final report to a successor, if
+    /// there is one.
     pub fn run(self) {
         let report = self.core.run(self.inputs, self.commands);
         self.connections.front.wait_closed(REPLY_WRITE_TIME);
+        self.connections.front.wait_replies_written();
         if let Some(upgrade) = self.upgrade {
             upgrade.send_final_report(report);
         }
--- a/tests/openapi.rs
+++ b/tests/openapi.rs
@@ -410,3 +410,44 @@
     let received = received.lock().expect("the request log is not poisoned");
     assert_eq!(received.len(), 1, "got {received:?}");
 }
+
+/// Guards against a shutdown that cuts off a long body at its own deadline, 3.4 s after the request
+/// to stop with this description, though the upstream server still gives it.
+#[test]
+fn shutdown_passes_on_a_long_body_whole() {
+    const BODY_BYTES: usize = 200_000;
+    const PIECES: usize = 90;
+    let server = start_peer(|_, stream| {
+        let mut reader = BufReader::new(stream);
+        if read_http_message(&mut reader, false).is_err() {
+            return;
+        }
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
+        let mut response = head.into_bytes();
+        response.resize(response.len() + BODY_BYTES, b'v');
+        for piece in response.chunks(BODY_BYTES / PIECES) {
+            if reader.get_mut().write_all(piece).is_err() {
+                return;
+            }
+            std::thread::sleep(std::time::Duration::from_millis(50));
+        }
+    });
+    let folder = std::env::temp_dir().join(format!("mossrill-long-body-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("the temporary folder is created");
+    let mut configuration = configuration(&[server], json!({"kind": "none"}));
+    configuration["description"] = json!("description.json");
+    let program = Program::start_openapi("long-body", &configuration, DESCRIPTION, &folder);
+    let mut client = Client::connect_at(program.client_address);
+    client.send(&request(BUY_TICKET, "", "pay"));
+    let first_line = client.read_line();
+    program.signal("TERM");
+    assert_eq!(first_line, "HTTP/1.1 200 OK");
+    while !client.read_line().is_empty() {}
+    let mut body = Vec::new();
+    let mut rest = client.0.take(BODY_BYTES as u64);
+    _ = rest.read_to_end(&mut body);
+    assert_eq!(body.len(), BODY_BYTES);
+    drop(rest);
+    program.terminate();
+    _ = std::fs::remove_dir_all(&folder);
+}
--- a/tests/races/shutdown.rs
+++ b/tests/races/shutdown.rs
@@ -302,3 +302,57 @@
     );
     stop_thread.join().expect("limiter stops without a panic");
 }
+
+/// Length of a long value, in bytes.
+const LONG_VALUE_BYTES: usize = 200_000;
+/// Number of pieces in which an upstream server writes a long value.
+const VALUE_PIECES: usize = 100;
+/// Time between two of these pieces. The value is whole 2 s after its first bytes.
+const PIECE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Guards against a shutdown that cuts off a long value at its own deadline, 0.8 s after the request
+/// to stop with these deadlines, though the upstream server still gives it and the client reads it.
+#[test]
+fn shutdown_passes_on_a_long_value_whole_and_the_answer_behind_it() {
+    let (begun_sender, begun) = channel();
+    let begun_sender = Mutex::new(begun_sender);
+    let server = start_peer(move |_, mut stream| {
+        let mut bytes = Vec::new();
+        while let Some(words) = read_command(&mut stream, &mut bytes) {
+            let mut reply = format!("*3\r\n${LONG_VALUE_BYTES}\r\n").into_bytes();
+            reply.resize(reply.len() + LONG_VALUE_BYTES, b'v');
+            reply.extend_from_slice(b"\r\n$-1\r\n$-1\r\n");
+            if words[2] == "short" {
+                reply = b"*3\r\n$5\r\nshort\r\n$-1\r\n$-1\r\n".to_vec();
+            }
+            for piece in reply.chunks(LONG_VALUE_BYTES / VALUE_PIECES) {
+                if stream.write_all(piece).is_err() {
+                    return;
+                }
+                _ = begun_sender.lock().expect("lock is not poisoned").send(());
+                thread::sleep(PIECE_INTERVAL);
+            }
+        }
+    });
+    let mut config = settings(
+        silent_discovery(),
+        quota_counter().0,
+        &[("s-1", server), ("s-2", server), ("s-3", server)],
+    );
+    for class in config["settings"]["classes"]
+        .as_array_mut()
+        .expect("classes are an array")
+    {
+        (class["slo"], class["deadline"]) = (200_000.into(), 400_000.into());
+    }
+    let program = Program::start("long-value", &config);
+    let mut client = Client::connect_when_ready_at(program.client_address);
+    client.send_request("pay", "long", 400);
+    begun.recv().expect("the server writes a long value");
+    client.send_request("pay", "short", 400);
+    program.signal("TERM");
+    assert_eq!(client.read_line(), format!("${LONG_VALUE_BYTES}"));
+    assert_eq!(client.read_line(), "v".repeat(LONG_VALUE_BYTES));
+    assert_eq!(client.read_reply(), "short");
+    program.terminate();
+}
