Answer each of many commands at once instead of closing behind 64

Cause: the 65th command without a written reply closed the connection, and what stood behind it was dropped.

Change: the core has 64 requests of a connection at most; further ones are rejected in their place among the replies. Behind 199 commands without a reply, reading waits for one; if none is written for 2.6 s, the client gets the error and the close as before. What is read after a wait counts as received before it. Both fronts share this.

The three new tests fail without it, 65 of 80 answered on the OpenAPI front, but for the one on the error within 3 s, which holds before too. With arrival counted from the end of the wait, a server is told 1.24 s after the send in place of 0.7 s; the test sees it.

--- a/src/client/connection.rs
+++ b/src/client/connection.rs
@@ -8,7 +8,7 @@
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::collections::VecDeque;
 use std::net::{Shutdown, TcpStream};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// A client that sent part of an incomplete command within this time counts as still sending it.
@@ -74,6 +74,8 @@
     /// Whether reading was paused: the bytes that are read next may have been received long ago,
     /// and the client may have disconnected since.
     pub(super) reading_was_paused: bool,
+    /// Whether reading waited until a reply was written, and the reader was not told yet.
+    pub(super) waited_for_replies: bool,
     /// Whether another process reads from the connection and writes to it.
     pub(super) handed_over: bool,
     /// Whether a request was received. Commands with a direct reply and malformed commands do not
@@ -109,6 +111,7 @@
             closed: false,
             close_after_reading: false,
             reading_was_paused: true,
+            waited_for_replies: false,
             handed_over: false,
             has_requested: adopted,
             partial_reads: 0,
@@ -138,17 +141,41 @@
 }
 
 impl<P: ClientProtocol> ClientConnection<P> {
-    /// Counts a command that was read. Returns the number of commands whose reply has not been
-    /// written, or none if the connection is closing and the command is ignored.
-    pub(super) fn begin_command(&self) -> Option<usize> {
+    /// Counts a command that was read. Returns false if the connection is closing and the command is
+    /// ignored.
+    pub(super) fn begin_command(&self) -> bool {
         let mut state = lock(&self.state);
         if state.closed {
-            return None;
+            return false;
         }
         state.unanswered += 1;
         state.partial_reads = 0;
         state.incomplete_since = None;
-        Some(state.unanswered)
+        true
+    }
+
+    /// Waits until fewer than `max_unanswered` commands are unanswered or the connection is closing.
+    /// Returns false if that is not so within `timeout`.
+    ///
+    /// Guards against a client that sends without an end, and makes one wait that sends more than
+    /// the limiter holds: the bytes stay in the socket.
+    pub(super) fn wait_for_replies(&self, max_unanswered: usize, timeout: Duration) -> bool {
+        let mut state = lock(&self.state);
+        if state.unanswered < max_unanswered {
+            return true;
+        }
+        // The command that was read last is complete.
+        state.partial_reads = 0;
+        state.incomplete_since = None;
+        state.reading_was_paused = true;
+        state.waited_for_replies = true;
+        let is_full =
+            |state: &mut ConnectionState<P>| state.unanswered >= max_unanswered && !state.closed;
+        let (_state, wait) = self
+            .progress
+            .wait_timeout_while(state, timeout, is_full)
+            .unwrap_or_else(PoisonError::into_inner);
+        !wait.timed_out()
     }
 
     /// Records that the reply to the oldest unanswered command was written. If `closing` is set,
--- a/src/client/interruptible.rs
+++ b/src/client/interruptible.rs
@@ -1,7 +1,7 @@
 //! Blocking reads from a client that another thread can interrupt without losing a byte.
 
 use crate::threads::lock;
-use rustix::event::{poll, PollFd, PollFlags};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::os::unix::net::UnixStream;
@@ -90,12 +90,27 @@
         self.interrupted
     }
 
+    /// Whether bytes can be read without waiting.
+    pub fn has_received(&self) -> bool {
+        !self.unread.is_empty() || is_readable(self.stream)
+    }
+
     /// Returns the bytes that were read from the stream earlier and not returned by this reader.
     pub fn into_unread(self) -> Vec<u8> {
         self.unread
     }
 }
 
+/// Whether bytes, or the end of the stream, can be read without waiting.
+fn is_readable(stream: &TcpStream) -> bool {
+    let mut polled = [PollFd::new(stream, PollFlags::IN)];
+    let no_wait = Timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
+    poll(&mut polled, Some(&no_wait)).is_ok_and(|readable| readable > 0)
+}
+
 impl Read for InterruptibleReader<'_> {
     fn read(&mut self, to: &mut [u8]) -> io::Result<usize> {
         if !self.unread.is_empty() {
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -97,6 +97,8 @@
     connection_limit_throttle: LogThrottle,
     /// Limits the rate of log lines about the memory budget.
     memory_budget_throttle: LogThrottle,
+    /// Limits the rate of log lines about connections with too many open requests.
+    open_requests_throttle: LogThrottle,
 }
 
 impl<P: ClientProtocol> ClientListener<P> {
@@ -123,6 +125,7 @@
             malformed_throttle: LogThrottle::default(),
             connection_limit_throttle: LogThrottle::default(),
             memory_budget_throttle: LogThrottle::default(),
+            open_requests_throttle: LogThrottle::default(),
         })
     }
 
--- a/src/client/reader.rs
+++ b/src/client/reader.rs
@@ -62,7 +62,7 @@
             return self.reader_ended(number, connection);
         }
         // If a command timed out, the watchdog has ended the stream.
-        if connection.command_timed_out() && connection.begin_command().is_some() {
+        if connection.command_timed_out() && connection.begin_command() {
             session.close_with_reason(CloseReason::TooSlow);
         }
         match connection.stop_accepting() {
--- a/src/client/session.rs
+++ b/src/client/session.rs
@@ -17,8 +17,15 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Maximum number of commands of one connection whose reply has not been written.
-const MAX_PIPELINED_COMMANDS: usize = 64;
+/// Maximum number of requests of one connection that the core has and whose reply has not been
+/// written. Further ones are rejected.
+const MAX_OPEN_REQUESTS: usize = 64;
+/// Maximum number of commands of one connection whose reply has not been written; the next one is
+/// read once a reply was written. Clients may send many commands at once, but not hundreds.
+const MAX_UNANSWERED_COMMANDS: usize = 199;
+/// If no reply is written for this long while [`MAX_UNANSWERED_COMMANDS`] are unanswered, the
+/// connection is closed.
+const REPLY_PROGRESS_TIMEOUT: Duration = COMMAND_TIMEOUT;
 
 /// Result of the reservation of a reply for a request.
 pub enum ReplyReservation<V> {
@@ -29,7 +36,8 @@
         /// Slot for its reply.
         slot: ReplySlot<V>,
     },
-    /// The limiter has no memory for the request, which was rejected. The next one may be read.
+    /// The request was rejected, as the limiter has no memory for it or too many requests are open on
+    /// its connection. The next one may be read.
     Rejected,
     /// The connection is closing, and the command is to be ignored.
     Closing,
@@ -51,22 +59,37 @@
         class: usize,
         bytes: usize,
     ) -> ReplyReservation<ValueOf<P>> {
-        if self.connection.disconnected_while_paused() {
+        let is_ignored = !self.wait_for_room()
+            || self.connection.disconnected_while_paused()
+            || !self.connection.begin_command();
+        if is_ignored {
             return ReplyReservation::Closing;
         }
-        let Some(unanswered) = self.connection.begin_command() else {
-            return ReplyReservation::Closing;
-        };
         let in_flight = self.front.metrics.begin_request(class);
-        if unanswered > MAX_PIPELINED_COMMANDS {
-            self.close_with_reason(CloseReason::TooMany);
-            return ReplyReservation::Closing;
+        if lock(&self.connection.state).open_requests.len() >= MAX_OPEN_REQUESTS {
+            self.log_too_many_open();
+            return self.reject(context, in_flight);
         }
         let budget = &self.front.memory_budget;
         match budget.charge(&self.connection.memory, bytes) {
             Some(memory) => self.reserve(context, in_flight, memory),
-            None => self.reject(context, in_flight),
+            None => {
+                self.log_no_memory();
+                self.reject(context, in_flight)
+            }
+        }
+    }
+
+    /// Waits until few enough commands are unanswered for a further one. Returns false if that takes
+    /// too long and the connection is closed.
+    fn wait_for_room(&self) -> bool {
+        let has_room = self
+            .connection
+            .wait_for_replies(MAX_UNANSWERED_COMMANDS, REPLY_PROGRESS_TIMEOUT);
+        if !has_room && self.connection.begin_command() {
+            self.close_with_reason(CloseReason::TooMany);
         }
+        has_room
     }
 
     fn reserve(
@@ -90,16 +113,13 @@
         ReplyReservation::Reserved { number, slot }
     }
 
-    /// Rejects a request that the limiter has no memory for. It is answered without the core, whose
-    /// queue would hold it meanwhile. Nothing has run, so the rejection is harmless.
+    /// Rejects a request without the core, whose queue would hold it meanwhile. Nothing has run, so
+    /// the rejection is harmless.
     fn reject(
         &self,
         context: P::ReplyContext,
         in_flight: InFlightRequest,
     ) -> ReplyReservation<ValueOf<P>> {
-        if let Some(suppressed) = self.front.memory_budget_throttle.permit() {
-            warn!(self.front.log, "no memory for a request"; "suppressed" => suppressed);
-        }
         let answer = Answer::Rejected {
             retry_after: self.front.retry_after_when_full,
             timed_out: false,
@@ -141,20 +161,15 @@
     /// Sends a reply without the core, in the order of the commands. Returns false if the
     /// connection is closing.
     pub fn reply_directly(&self, context: P::ReplyContext, reply: Reply<ValueOf<P>>) -> bool {
-        match self.connection.begin_command() {
-            None => false,
-            Some(unanswered) if unanswered > MAX_PIPELINED_COMMANDS => {
-                self.close_with_reason(CloseReason::TooMany);
-                false
-            }
-            Some(_) => self.write_or_queue(context, reply),
-        }
+        self.wait_for_room()
+            && self.connection.begin_command()
+            && self.write_or_queue(context, reply)
     }
 
     /// Sends a last reply and closes the connection; `error` is logged. Earlier commands are
     /// answered first; those without an answer at the command timeout are abandoned.
     pub fn reply_and_close(&self, context: P::ReplyContext, text: Vec<u8>, error: &str) {
-        if self.connection.begin_command().is_some() {
+        if self.connection.begin_command() {
             self.send_last_reply(context, text, error);
         }
     }
@@ -236,6 +251,24 @@
         self.front.is_ready()
     }
 
+    fn log_no_memory(&self) {
+        if let Some(suppressed) = self.front.memory_budget_throttle.permit() {
+            warn!(self.front.log, "no memory for a request"; "suppressed" => suppressed);
+        }
+    }
+
+    fn log_too_many_open(&self) {
+        if let Some(suppressed) = self.front.open_requests_throttle.permit() {
+            info!(self.front.log, "too many open requests on a connection"; "suppressed" => suppressed);
+        }
+    }
+
+    /// Whether reading waited for replies since the last call. Commands that are read next may have
+    /// been received long ago.
+    pub fn take_reply_wait(&self) -> bool {
+        std::mem::take(&mut lock(&self.connection.state).waited_for_replies)
+    }
+
     /// Logs at a limited rate what is wrong with a client's command.
     pub fn log_malformed(&self, error: &str) {
         if let Some(suppressed) = self.front.malformed_throttle.permit() {
--- a/src/platform/client_protocol.rs
+++ b/src/platform/client_protocol.rs
@@ -10,7 +10,7 @@
 use crate::simulator::Names;
 use std::io::{self, Write};
 use std::net::TcpStream;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Protocol that clients of the platform speak.
 pub struct PlatformClientProtocol {
@@ -36,7 +36,7 @@
                 Ok(_) => {}
                 Err(_) => return reader.unprocessed().to_vec(),
             }
-            if reader.process_commands(Instant::now()).is_break() {
+            if reader.process_commands().is_break() {
                 return Vec::new();
             }
             reader.discard_processed();
--- a/src/platform/command_reader.rs
+++ b/src/platform/command_reader.rs
@@ -33,6 +33,11 @@
     end: usize,
     /// Number of consecutive rejected commands so far.
     rejected_commands: u32,
+    /// When the bytes that were received last had arrived at the earliest.
+    arrived: Instant,
+    /// Whether the bytes that are received next may have arrived at the same time, because reading
+    /// waited for replies meanwhile.
+    is_behind: bool,
 }
 
 impl<'a, 'session> CommandReader<'a, 'session> {
@@ -47,13 +52,20 @@
             start: 0,
             end: 0,
             rejected_commands: 0,
+            arrived: Instant::now(),
+            is_behind: false,
         }
     }
 
     /// Receives further bytes. Returns their number, which is 0 at the end of the connection.
     pub(super) fn receive(&mut self, from: &mut InterruptibleReader) -> io::Result<usize> {
+        self.is_behind |= self.session.take_reply_wait();
+        self.is_behind = self.is_behind && from.has_received();
         let read = self.buffer.read(self.end, from)?;
         self.end += read;
+        if !self.is_behind {
+            self.arrived = Instant::now();
+        }
         Ok(read)
     }
 
@@ -77,7 +89,7 @@
 
     /// Processes all complete commands. Returns `Break` if the connection must not be read any
     /// further.
-    pub(super) fn process_commands(&mut self, arrived: Instant) -> ControlFlow<()> {
+    pub(super) fn process_commands(&mut self) -> ControlFlow<()> {
         while self.start < self.end {
             let words = match self.next_command() {
                 Ok(Some(words)) => words,
@@ -89,7 +101,7 @@
                 continue;
             }
             match self.protocol.parse_request(&self.buffer, &words) {
-                Ok(command) => self.submit(command, words, arrived)?,
+                Ok(command) => self.submit(command, words)?,
                 Err(error) => self.reject(error, &words[FIELDS_INDEX])?,
             }
         }
@@ -169,12 +181,7 @@
         ControlFlow::Break(())
     }
 
-    fn submit(
-        &mut self,
-        command: RequestCommand,
-        words: Vec<Range<usize>>,
-        arrived: Instant,
-    ) -> ControlFlow<()> {
+    fn submit(&mut self, command: RequestCommand, words: Vec<Range<usize>>) -> ControlFlow<()> {
         self.rejected_commands = 0;
         let text = words[0].start..words[words.len() - 1].end;
         let is_small = text.len() <= SMALL_BUFFER_BYTES;
@@ -197,7 +204,7 @@
         self.session.submit(IncomingRequest {
             number,
             id: Some(command.id),
-            arrived,
+            arrived: self.arrived,
             timeout: command.timeout,
             class: command.class,
             plan: command.plan,
--- a/tests/openapi.rs
+++ b/tests/openapi.rs
@@ -451,3 +451,23 @@
     program.terminate();
     _ = std::fs::remove_dir_all(&folder);
 }
+
+/// Guards against a connection that is closed behind 64 open requests, with no answer to those that
+/// were sent with them.
+#[test]
+fn each_of_many_requests_at_once_is_answered() {
+    let server = start_http_peer(|_, _, _| PeerAction::Hang);
+    let configuration = configuration(&[server], json!({"kind": "none"}));
+    let limiter = start_openapi_limiter(&configuration, DESCRIPTION);
+    let mut client = Client::connect(&limiter);
+    client.send(&request(GET_SEATS, "", "").repeat(80));
+    let statuses: Vec<String> = (0..80)
+        .map_while(|_| read_http_message(&mut client.0, false).ok())
+        .map(|(status, _, _)| status)
+        .collect();
+    assert_eq!(statuses.len(), 80, "got {statuses:?}");
+    let is_expected = |status: &String| status.contains(" 429 ") || status.contains(" 504 ");
+    assert!(statuses.iter().all(is_expected), "got {statuses:?}");
+    let next = exchange(&mut client, &request("GET /v1/none", "", ""));
+    assert!(next.starts_with("HTTP/1.1 404 "), "got {next}");
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,5 +8,6 @@
 mod connections;
 mod malformed;
 mod memory;
+mod pipelining;
 mod requests;
 mod support;
--- a/tests/platform/malformed.rs
+++ b/tests/platform/malformed.rs
@@ -122,7 +122,7 @@
         // Malformed input or too many commands after a request that no server answers. The client
         // does not have to wait for the deadline of the request.
         open("open-1") + "*x\r\n",
-        open("open-2") + &"*1\r\n$4\r\nPING\r\n".repeat(100),
+        open("open-2") + &"*1\r\n$4\r\nPING\r\n".repeat(300),
         request_command("dance", "id", 500).repeat(20),
     ];
     let replies: Vec<String> = std::thread::scope(|scope| {
