Keep the state of a bounded number of accounts

With a new customer in each command the limit is still passed after 2 to 4 s: the engine keeps the state of each account for 60 s, without a bound.

Change: on the platform the state of as many accounts is kept as fit in an eighth of memory_mb. Beyond, unused accounts with a full bucket are forgotten, which changes nothing for them but units that the counter was not told yet; while all are in use, requests of further accounts are rejected.

The two new tests fail without the bound (501 accounts in place of 64).

--- a/src/config/common.rs
+++ b/src/config/common.rs
@@ -17,6 +17,10 @@
 /// The unanswered requests may hold one part in this many of the memory limit. The rest is for the
 /// buffers and threads of connections, which the number of file descriptors bounds.
 const REQUEST_MEMORY_PARTS: f64 = 4.0;
+/// The state of accounts may hold one part in this many of the memory limit.
+const ACCOUNT_MEMORY_PARTS: f64 = 8.0;
+/// Memory that the state of one account holds, in bytes, with its place in the engine's maps.
+const ACCOUNT_BYTES: f64 = 768.0;
 /// Number of bytes in one MiB.
 const MIB: f64 = 1_048_576.0;
 
@@ -73,6 +77,12 @@
     (counted * MIB / REQUEST_MEMORY_PARTS) as usize
 }
 
+/// Returns the maximum number of accounts whose state is kept under a memory limit in MiB.
+pub(super) fn max_accounts(memory_mib: f64) -> usize {
+    let counted = memory_mib.clamp(1.0, MAX_MEMORY_MIB);
+    (counted * MIB / ACCOUNT_MEMORY_PARTS / ACCOUNT_BYTES) as usize
+}
+
 /// Limits the configured number of open requests to the range from 1 to [`MAX_OPEN_REQUESTS`].
 pub(super) fn bounded_open_requests(configured: u64) -> usize {
     configured.clamp(1, MAX_OPEN_REQUESTS) as usize
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -1,8 +1,8 @@
 //! Reads the configuration of a limiter on the platform.
 
 use super::common::{
-    bounded_descriptors, bounded_open_requests, request_memory, MAX_DESCRIPTORS, MAX_MEMORY_MIB,
-    MAX_OPEN_REQUESTS,
+    bounded_descriptors, bounded_open_requests, max_accounts, request_memory, MAX_DESCRIPTORS,
+    MAX_MEMORY_MIB, MAX_OPEN_REQUESTS,
 };
 use super::decision::check_settings;
 use super::endpoints::read_endpoint_update;
@@ -69,10 +69,11 @@
 
 fn read_platform(root: &Section<'_>) -> Result<PlatformConfig, ConfigError> {
     let section = root.section("settings");
-    let settings = read_settings(root)?;
+    let mut settings = read_settings(root)?;
     let machine_limits = root.section("limits");
     let sockets = machine_limits.integer_or("sockets", MAX_DESCRIPTORS)?;
     let memory_mib = machine_limits.number_or("memory_mb", MAX_MEMORY_MIB)?;
+    settings.max_accounts = Some(max_accounts(memory_mib));
     let seed = root.optional("seed", 0, "16 hex digits", |value| {
         u64::from_str_radix(value.as_str()?, 16).ok()
     })?;
--- a/src/decision/account.rs
+++ b/src/decision/account.rs
@@ -148,8 +148,19 @@
     /// Refills the local copy of the bucket. Without the counter it gets this limiter's share
     /// alone, as the other limiters refill their own copies.
     pub fn refill(&mut self, now: Micros, plan: &Plan, counter_usable: bool) {
-        let seconds = now.saturating_sub(self.refilled_at) as f64 / SECOND;
+        self.tokens = self.tokens_at(now, plan, counter_usable);
         self.refilled_at = now.max(self.refilled_at);
+    }
+
+    /// Whether the local copy of the bucket holds as much as that of a new account at this time.
+    pub(super) fn is_full_at(&self, now: Micros, plan: &Plan, counter_usable: bool) -> bool {
+        let initial = (plan.burst / self.share_divisor).max(1.0);
+        self.tokens_at(now, plan, counter_usable) >= initial
+    }
+
+    /// Returns the units that the local copy of the bucket holds at this time.
+    fn tokens_at(&self, now: Micros, plan: &Plan, counter_usable: bool) -> f64 {
+        let seconds = now.saturating_sub(self.refilled_at) as f64 / SECOND;
         let uses_full_quota = counter_usable && self.total_at.is_some();
         let share = if uses_full_quota {
             1.0
@@ -157,9 +168,8 @@
             1.0 / self.share_divisor
         };
         let capacity = (plan.burst * share).max(1.0);
-        self.tokens = self
-            .tokens
-            .max((self.tokens + plan.rate * share * seconds).min(capacity));
+        self.tokens
+            .max((self.tokens + plan.rate * share * seconds).min(capacity))
     }
 
     /// Returns the units in this limiter's share of the ceiling's bucket. The bucket starts empty,
--- a/src/decision/admission.rs
+++ b/src/decision/admission.rs
@@ -41,7 +41,14 @@
         let value_fraction = if is_late { class.late_weight } else { 1.0 };
         let plan = &self.settings.plans[request.plan];
         let weight = class.priority_weight * value_fraction * plan.weight_factor * request.units;
-        self.enqueue(now, request, weight, objective, actions);
+        if self.has_room_for_account(now, &request.account) {
+            self.enqueue(now, request, weight, objective, actions);
+        } else {
+            actions.push(Action::Reject {
+                id: request.id,
+                retry_after: self.retry_after(),
+            });
+        }
     }
 
     fn enqueue(
--- a/src/decision/counter_sync.rs
+++ b/src/decision/counter_sync.rs
@@ -141,6 +141,17 @@
         });
     }
 
+    /// Removes an account from those that may need a call.
+    pub fn unschedule(&mut self, synced_at: Micros, account: &AccountId) {
+        for reason in [SyncReason::RequestWaits, SyncReason::UnitsToReport] {
+            self.due.remove(&DueAccount {
+                reason,
+                synced_at,
+                account: account.clone(),
+            });
+        }
+    }
+
     /// Removes and returns the account whose call is the most urgent.
     pub fn next_due(&mut self) -> Option<AccountId> {
         self.due.pop_first().map(|due| due.account)
--- a/src/decision/engine.rs
+++ b/src/decision/engine.rs
@@ -34,6 +34,8 @@
     started: bool,
     /// When the averages that are updated once per second were last updated.
     pub(super) last_second: Micros,
+    /// Time from which unused accounts are searched for again.
+    pub(super) next_eviction_at: Micros,
 }
 
 impl Engine {
@@ -57,6 +59,7 @@
             counter: CounterSync::new(&settings),
             started: false,
             last_second: 0,
+            next_eviction_at: 0,
             settings,
         }
     }
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -6,6 +6,7 @@
 //! | module | decides |
 //! | --- | --- |
 //! | `admission` | which requests are queued and which are rejected at once |
+//! | `account_eviction` | which accounts are forgotten when there are too many |
 //! | `fair_queue` | the order in which they are sent |
 //! | `dispatch`, `account` | whether an account's quota allows a request |
 //! | `counter_sync`, `counter_calls` | which accounts need a call of the shared counter |
@@ -15,6 +16,7 @@
 //! | `completion`, `retry_budget` | retries and final answers |
 
 pub mod account;
+mod account_eviction;
 mod action;
 mod admission;
 mod completion;
--- a/src/decision/settings.rs
+++ b/src/decision/settings.rs
@@ -181,6 +181,8 @@
     /// Whether the units of a request are leased before it is sent. The engine does not call the
     /// counter then.
     pub quota_leases: bool,
+    /// Maximum number of accounts whose state is kept; `None` if it is not bounded.
+    pub max_accounts: Option<usize>,
 }
 
 impl Settings {
--- a/src/simulator/settings.rs
+++ b/src/simulator/settings.rs
@@ -40,6 +40,7 @@
         counter_timeout: specifics.integer("counterTimeout")?,
         server_weights: !matches!(root.text("weightSource")?, "" | "silent"),
         quota_leases: false,
+        max_accounts: None,
     })
 }
 
--- a/tests/decision/main.rs
+++ b/tests/decision/main.rs
@@ -4,6 +4,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 
+mod account_eviction;
 mod account_quota;
 mod actions;
 mod concurrency_limit;
