--- a/src/client/connection.rs
+++ b/src/client/connection.rs
@@ -2,10 +2,10 @@
 
 use super::memory_budget::{ConnectionMemory, MemoryCharge};
 use super::protocol::{ClientProtocol, Reply, ValueOf};
+use super::socket_state::peer_disconnected;
 use crate::metrics::InFlightRequest;
 use crate::threads::lock;
 use crate::upstream::ClientPresence;
-use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::collections::VecDeque;
 use std::net::{Shutdown, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
@@ -252,17 +252,3 @@
         !closing && peer_disconnected(&self.stream)
     }
 }
-
-/// Whether the client has closed its side of the connection, even if not all bytes that it sent
-/// were read.
-pub(super) fn peer_disconnected(stream: &TcpStream) -> bool {
-    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
-    let no_wait = Timespec {
-        tv_sec: 0,
-        tv_nsec: 0,
-    };
-    poll(&mut polled, Some(&no_wait)).is_ok()
-        && polled[0]
-            .revents()
-            .intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
-}
--- a/src/client/interruptible.rs
+++ b/src/client/interruptible.rs
@@ -1,7 +1,8 @@
 //! Blocking reads from a client that another thread can interrupt without losing a byte.
 
+use super::socket_state::is_readable;
 use crate::threads::lock;
-use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use rustix::event::{poll, PollFd, PollFlags};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::os::unix::net::UnixStream;
@@ -101,16 +102,6 @@
     }
 }
 
-/// Whether bytes, or the end of the stream, can be read without waiting.
-fn is_readable(stream: &TcpStream) -> bool {
-    let mut polled = [PollFd::new(stream, PollFlags::IN)];
-    let no_wait = Timespec {
-        tv_sec: 0,
-        tv_nsec: 0,
-    };
-    poll(&mut polled, Some(&no_wait)).is_ok_and(|readable| readable > 0)
-}
-
 impl Read for InterruptibleReader<'_> {
     fn read(&mut self, to: &mut [u8]) -> io::Result<usize> {
         if !self.unread.is_empty() {
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -16,6 +16,7 @@
 mod protocol;
 mod reader;
 mod session;
+mod socket_state;
 mod watchdog;
 mod writer;
 
--- a/src/client/watchdog.rs
+++ b/src/client/watchdog.rs
@@ -2,8 +2,9 @@
 //! command within a timeout, evicts idle ones above a limit, and abandons requests that precede a
 //! malformed command.
 
-use super::connection::{peer_disconnected, ClientConnection, MIN_IDLE_TIME};
+use super::connection::{ClientConnection, MIN_IDLE_TIME};
 use super::protocol::ClientProtocol;
+use super::socket_state::peer_disconnected;
 use super::ClientListener;
 use crate::threads::lock;
 use std::collections::HashMap;
