Log the process's memory when it comes close to its limit

The logs of the incident have no figure of memory: they can't tell whether the killed processes passed their limit, nor with how many connections.

The watchdog of the client connections now reads the resident and anonymous memory every 200 ms and logs both, with the number of connections, once they exceed three quarters of memory_mb, once a second at most.

--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -50,6 +50,8 @@
     pub max_connections: usize,
     /// Interrupts readers for a hand-over; none if connections are never handed over.
     pub read_interrupt: Option<ReadInterrupt>,
+    /// The memory limit of the process, in bytes.
+    pub memory_limit: usize,
     /// The memory that unanswered requests may hold.
     pub memory_budget: Arc<MemoryBudget>,
     /// Retry-After of requests that do not fit in the budget; zero if clients get none.
@@ -74,6 +76,8 @@
     accept_paused: Mutex<bool>,
     /// Notified when accepting is paused or resumed.
     accept_resumed: Condvar,
+    /// The memory limit of the process, in bytes.
+    memory_limit: usize,
     memory_budget: Arc<MemoryBudget>,
     /// See [`ClientListenerOptions::retry_after_when_full`].
     retry_after_when_full: Duration,
@@ -96,6 +100,8 @@
     malformed_throttle: LogThrottle,
     /// Limits the rate of log lines about the connection limit.
     connection_limit_throttle: LogThrottle,
+    /// Limits the rate of log lines about the memory of the process.
+    resident_memory_throttle: LogThrottle,
     /// Limits the rate of log lines about the memory budget.
     memory_budget_throttle: LogThrottle,
     /// Limits the rate of log lines about connections with too many open requests.
@@ -112,6 +118,7 @@
             hand_over_to: Mutex::default(),
             accept_paused: Mutex::default(),
             accept_resumed: Condvar::new(),
+            memory_limit: options.memory_limit,
             memory_budget: options.memory_budget,
             retry_after_when_full: options.retry_after_when_full,
             events: options.events,
@@ -125,6 +132,7 @@
             log: options.log,
             malformed_throttle: LogThrottle::default(),
             connection_limit_throttle: LogThrottle::default(),
+            resident_memory_throttle: LogThrottle::default(),
             memory_budget_throttle: LogThrottle::default(),
             open_requests_throttle: LogThrottle::default(),
         })
--- a/src/client/watchdog.rs
+++ b/src/client/watchdog.rs
@@ -6,7 +6,9 @@
 use super::protocol::ClientProtocol;
 use super::socket_state::peer_disconnected;
 use super::ClientListener;
+use crate::memory::ResidentMemory;
 use crate::threads::lock;
+use slog::warn;
 use std::collections::HashMap;
 use std::net::Shutdown;
 use std::sync::atomic::Ordering;
@@ -26,6 +28,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Interval of the checks while connections are open.
 const WATCHDOG_INTERVAL: Duration = Duration::from_millis(200);
+/// The memory of the process is logged once it exceeds this many quarters of its limit.
+const LOGGED_MEMORY_QUARTERS: usize = 3;
 /// Maximum number of connections on which requests were received, in fifths of the connection
 /// limit.
 const MAX_REQUESTING_FIFTHS: usize = 3;
@@ -41,6 +45,7 @@
             drop(waited);
             thread::sleep(WATCHDOG_INTERVAL);
             self.close_if_closing();
+            self.log_memory_near_limit();
             connections = lock(&self.connections);
             let now = Instant::now();
             for connection in connections.values() {
@@ -50,6 +55,22 @@
         }
     }
 
+    /// Logs at a limited rate how much memory the process uses, if that is close to its limit.
+    fn log_memory_near_limit(&self) {
+        let Some(memory) = ResidentMemory::read() else {
+            return;
+        };
+        let limit_kib = (self.memory_limit / 1024) as u64;
+        if memory.total_kib <= limit_kib / 4 * LOGGED_MEMORY_QUARTERS as u64 {
+            return;
+        }
+        if let Some(suppressed) = self.resident_memory_throttle.permit() {
+            warn!(self.log, "memory close to the limit"; "limit_kib" => limit_kib,
+                "resident_kib" => memory.total_kib, "anonymous_kib" => memory.anonymous_kib,
+                "connections" => lock(&self.connections).len(), "suppressed" => suppressed);
+        }
+    }
+
     /// Limits the connections on which requests were received to three fifths of the connection
     /// limit, by closing idle ones that have been inactive for longest. Clients may hold four
     /// fifths of the limit, and the rest is for floods, so a quarter of the clients' share stays
--- a/src/config/common.rs
+++ b/src/config/common.rs
@@ -47,6 +47,8 @@
     pub max_descriptors: usize,
     /// Maximum number of requests that may be open at once.
     pub max_open_requests: usize,
+    /// The memory limit of the process, in bytes.
+    pub memory_limit: usize,
     /// Maximum memory that unanswered requests may hold together, in bytes.
     pub max_request_bytes: usize,
     /// Timeouts of connections to upstream servers.
@@ -71,6 +73,11 @@
     configured.min(MAX_DESCRIPTORS) as usize
 }
 
+/// Returns a memory limit in MiB in bytes, as far as it is counted on.
+pub(super) fn counted_memory(memory_mib: f64) -> usize {
+    (memory_mib.clamp(1.0, MAX_MEMORY_MIB) * MIB) as usize
+}
+
 /// Returns the memory that unanswered requests may hold under a memory limit in MiB, in bytes.
 pub(super) fn request_memory(memory_mib: f64) -> usize {
     let counted = memory_mib.clamp(1.0, MAX_MEMORY_MIB);
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -1,8 +1,8 @@
 //! Reads the configuration of a limiter on the platform.
 
 use super::common::{
-    bounded_descriptors, bounded_open_requests, max_accounts, request_memory, MAX_DESCRIPTORS,
-    MAX_MEMORY_MIB, MAX_OPEN_REQUESTS,
+    bounded_descriptors, bounded_open_requests, counted_memory, max_accounts, request_memory,
+    MAX_DESCRIPTORS, MAX_MEMORY_MIB, MAX_OPEN_REQUESTS,
 };
 use super::decision::check_settings;
 use super::endpoints::read_endpoint_update;
@@ -101,6 +101,7 @@
             seed,
             max_descriptors: bounded_descriptors(sockets),
             max_open_requests: bounded_open_requests(max_open),
+            memory_limit: counted_memory(memory_mib),
             max_request_bytes: request_memory(memory_mib),
             connections,
             settings,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod handover;
 pub mod log_throttle;
 pub mod membership;
+pub mod memory;
 pub mod metrics;
 pub mod openapi;
 pub mod platform;
--- /dev/null
+++ b/src/memory/mod.rs
@@ -0,0 +1,5 @@
+//! The memory that the limiter uses.
+
+mod resident;
+
+pub use resident::ResidentMemory;
--- a/src/process/assembly.rs
+++ b/src/process/assembly.rs
@@ -155,6 +155,7 @@
             protocol,
             max_connections: self.limits.clients(false),
             read_interrupt: channel.read_interrupt.take(),
+            memory_limit: common.memory_limit,
             memory_budget,
             retry_after_when_full: retry_after_when_full(&common.settings),
             events: self.queue.client_events::<P>(),
--- a/tests/units/layers.rs
+++ b/tests/units/layers.rs
@@ -7,7 +7,14 @@
 /// whole path belongs to the layer of the module that contains it.
 const LAYERS: &[&[&str]] = &[
     &["decision"],
-    &["clock", "threads", "metrics", "log_throttle", "protocol"],
+    &[
+        "clock",
+        "threads",
+        "metrics",
+        "memory",
+        "log_throttle",
+        "protocol",
+    ],
     &["membership", "quota_lease", "handover"],
     &["simulator", "openapi::description"],
     &["config"],
