--- a/src/client/accept.rs
+++ b/src/client/accept.rs
@@ -1,8 +1,9 @@
 //! Accepts new connections, and evicts idle ones to stay within the limit.
 
-use super::connection::{ClientConnection, ConnectionOrigin, ConnectionState};
+use super::connection::{ClientConnection, ConnectionOrigin, ConnectionState, CONNECTION_BYTES};
 use super::protocol::ClientProtocol;
 use super::ClientListener;
+use crate::memory::MemoryHolder;
 use crate::threads::{lock, spawn};
 use slog::warn;
 use std::io;
@@ -49,7 +50,7 @@
         }
     }
 
-    /// Ensures that a new connection fits within the limit, by evicting the first connection in
+    /// Ensures that a new connection fits within the limit and the memory budget, by evicting the first connection in
     /// eviction order if needed. Returns false if none can be evicted within [`CAPACITY_TIMEOUT`]:
     /// the caller then closes the new connection, because waiting longer would delay all
     /// connections that follow it.
@@ -59,7 +60,7 @@
     pub(super) fn ensure_capacity(&self) -> bool {
         let began = Instant::now();
         let mut connections = lock(&self.connections);
-        while connections.len() >= self.max_connections.load(Ordering::Relaxed) {
+        while !self.has_room_for_connection(connections.len()) {
             let evictable = connections
                 .values()
                 .filter_map(|connection| Some((connection.eviction_order()?, connection)));
@@ -67,7 +68,8 @@
                 connection.evict();
             } else if began.elapsed() >= CAPACITY_TIMEOUT {
                 if let Some(suppressed) = self.connection_limit_throttle.permit() {
-                    warn!(self.log, "client connection limit reached"; "open" => connections.len(), "suppressed" => suppressed);
+                    warn!(self.log, "client connection limit reached"; "open" => connections.len(),
+                        "charged_kib" => self.memory.charged() / 1024, "suppressed" => suppressed);
                 }
                 return false;
             }
@@ -80,6 +82,14 @@
         true
     }
 
+    /// Whether there is room for one more connection than `open`.
+    fn has_room_for_connection(&self, open: usize) -> bool {
+        open < self.max_connections.load(Ordering::Relaxed)
+            && self
+                .memory
+                .has_room(MemoryHolder::Connection, CONNECTION_BYTES)
+    }
+
     /// Starts the reader of a connection. `read` is none for a new connection; for one that another
     /// process hands over, it holds the bytes that the other process has read but not processed.
     pub(super) fn start_connection(
@@ -96,6 +106,10 @@
         let state = ConnectionState::new(origin);
         let connection = Arc::new(ClientConnection {
             stream,
+            // A connection that was admitted, or that another process hands over, is kept.
+            _charge: self
+                .memory
+                .charge(MemoryHolder::Connection, CONNECTION_BYTES),
             memory: Arc::default(),
             state: Mutex::new(state),
             progress: Condvar::new(),
--- a/src/client/connection.rs
+++ b/src/client/connection.rs
@@ -1,9 +1,11 @@
 //! The connection of a client: its pending replies, its activity and how it is closed.
 
-use super::memory_budget::{ConnectionMemory, MemoryCharge};
 use super::protocol::{ClientProtocol, Reply, ValueOf};
+use super::request_memory::{ConnectionMemory, RequestCharge};
 use super::socket_state::peer_disconnected;
+use crate::memory::{MemoryCharge, THREAD_BYTES};
 use crate::metrics::InFlightRequest;
+use crate::protocol::buffers::SMALL_BUFFER_BYTES;
 use crate::threads::lock;
 use crate::upstream::ClientPresence;
 use std::collections::VecDeque;
@@ -11,6 +13,9 @@
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+/// Memory that a connection holds while its client sends nothing, in bytes: its reader, a small
+/// buffer, and its state, which [`THREAD_BYTES`] has room for.
+pub(super) const CONNECTION_BYTES: usize = THREAD_BYTES + SMALL_BUFFER_BYTES;
 /// A client that sent part of an incomplete command within this time counts as still sending it.
 const SENDING_WINDOW: Duration = Duration::from_millis(700);
 /// Idle time after which a connection that has sent requests may be closed if there are too many of
@@ -30,12 +35,14 @@
     pub(super) in_flight: Option<InFlightRequest>,
     /// Charge for the memory of the reply. None until the reply of a request is available, and for
     /// a direct reply.
-    pub(super) memory: Option<MemoryCharge>,
+    pub(super) memory: Option<RequestCharge>,
 }
 
 /// A connection of a client.
 pub(super) struct ClientConnection<P: ClientProtocol> {
     pub(super) stream: TcpStream,
+    /// Charge for [`CONNECTION_BYTES`].
+    pub(super) _charge: MemoryCharge,
     /// The memory that its unanswered requests hold.
     pub(super) memory: Arc<ConnectionMemory>,
     pub(super) state: Mutex<ConnectionState<P>>,
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -12,9 +12,9 @@
 mod event;
 mod hand_over;
 pub mod interruptible;
-mod memory_budget;
 mod protocol;
 mod reader;
+mod request_memory;
 mod session;
 mod socket_state;
 mod watchdog;
@@ -22,15 +22,16 @@
 
 pub use event::{ClientEvent, ClientEventSink, ClientRequest, Undelivered};
 pub use hand_over::ConnectionHandOver;
-pub use memory_budget::MemoryBudget;
 pub use protocol::{ClientProtocol, CloseReason, Reply, ReplySlot};
 pub use session::{ReplyReservation, Session};
 
 use crate::client::interruptible::ReadInterrupt;
 use crate::log_throttle::LogThrottle;
+use crate::memory::{MemoryBudget, MemoryLimits};
 use crate::metrics::Metrics;
 use crate::threads::{lock, spawn};
 use connection::ClientConnection;
+use request_memory::RequestMemory;
 use slog::Logger;
 use std::collections::HashMap;
 use std::io;
@@ -50,10 +51,12 @@
     pub max_connections: usize,
     /// Interrupts readers for a hand-over; none if connections are never handed over.
     pub read_interrupt: Option<ReadInterrupt>,
-    /// The memory limit of the process, in bytes.
-    pub memory_limit: usize,
-    /// The memory that unanswered requests may hold.
-    pub memory_budget: Arc<MemoryBudget>,
+    /// Budget of the memory that the process holds.
+    pub memory: Arc<MemoryBudget>,
+    /// How the memory limit is divided.
+    pub memory_limits: MemoryLimits,
+    /// Maximum number of requests that may be open at once.
+    pub max_open_requests: usize,
     /// Retry-After of requests that do not fit in the budget; zero if clients get none.
     pub retry_after_when_full: Duration,
     /// Receives the requests and the disconnects of clients.
@@ -76,9 +79,9 @@
     accept_paused: Mutex<bool>,
     /// Notified when accepting is paused or resumed.
     accept_resumed: Condvar,
-    /// The memory limit of the process, in bytes.
-    memory_limit: usize,
-    memory_budget: Arc<MemoryBudget>,
+    memory: Arc<MemoryBudget>,
+    memory_limits: MemoryLimits,
+    request_memory: Arc<RequestMemory>,
     /// See [`ClientListenerOptions::retry_after_when_full`].
     retry_after_when_full: Duration,
     events: ClientEventSink<P>,
@@ -103,7 +106,7 @@
     /// Limits the rate of log lines about the memory of the process.
     resident_memory_throttle: LogThrottle,
     /// Limits the rate of log lines about the memory budget.
-    memory_budget_throttle: LogThrottle,
+    memory_throttle: LogThrottle,
     /// Limits the rate of log lines about connections with too many open requests.
     open_requests_throttle: LogThrottle,
 }
@@ -118,8 +121,13 @@
             hand_over_to: Mutex::default(),
             accept_paused: Mutex::default(),
             accept_resumed: Condvar::new(),
-            memory_limit: options.memory_limit,
-            memory_budget: options.memory_budget,
+            request_memory: RequestMemory::new(
+                options.memory.clone(),
+                options.memory_limits.requests,
+                options.max_open_requests,
+            ),
+            memory: options.memory,
+            memory_limits: options.memory_limits,
             retry_after_when_full: options.retry_after_when_full,
             events: options.events,
             metrics: options.metrics,
@@ -133,7 +141,7 @@
             malformed_throttle: LogThrottle::default(),
             connection_limit_throttle: LogThrottle::default(),
             resident_memory_throttle: LogThrottle::default(),
-            memory_budget_throttle: LogThrottle::default(),
+            memory_throttle: LogThrottle::default(),
             open_requests_throttle: LogThrottle::default(),
         })
     }
@@ -165,7 +173,7 @@
 
     /// Sets whether another process of this limiter holds requests too, as during an upgrade.
     pub fn set_memory_shared(&self, is_shared: bool) {
-        self.memory_budget.set_shared(is_shared);
+        self.memory.set_shared(is_shared);
     }
 
     /// Whether no connection is open.
--- a/src/client/session.rs
+++ b/src/client/session.rs
@@ -3,11 +3,12 @@
 
 use super::connection::{ClientConnection, PendingReply};
 use super::event::{ClientEvent, ClientRequest};
-use super::memory_budget::MemoryCharge;
 use super::protocol::{ClientProtocol, CloseReason, Reply, ReplySlot, ValueOf};
+use super::request_memory::RequestCharge;
 use super::watchdog::COMMAND_TIMEOUT;
 use super::ClientListener;
 use crate::core::Answer;
+use crate::memory::MemoryBudget;
 use crate::metrics::InFlightRequest;
 use crate::threads::lock;
 use slog::{info, warn};
@@ -59,27 +60,52 @@
         class: usize,
         bytes: usize,
     ) -> ReplyReservation<ValueOf<P>> {
-        let is_ignored = !self.wait_for_room()
-            || self.connection.disconnected_while_paused()
-            || !self.connection.begin_command();
-        if is_ignored {
+        if !self.accept_request() {
             return ReplyReservation::Closing;
         }
         let in_flight = self.front.metrics.begin_request(class);
         if lock(&self.connection.state).open_requests.len() >= MAX_OPEN_REQUESTS {
             self.log_too_many_open();
-            return self.reject(context, in_flight);
+            return self.reject(context, Some(in_flight));
         }
-        let budget = &self.front.memory_budget;
-        match budget.charge(&self.connection.memory, bytes) {
+        let requests = &self.front.request_memory;
+        match requests.charge(&self.connection.memory, bytes) {
             Some(memory) => self.reserve(context, in_flight, memory),
             None => {
                 self.log_no_memory();
-                self.reject(context, in_flight)
+                self.reject(context, Some(in_flight))
             }
         }
     }
 
+    /// Rejects a request that was not kept, as there is no memory for it. `class` is none if the
+    /// request names no configured class.
+    pub fn reject_for_memory(
+        &self,
+        context: P::ReplyContext,
+        class: Option<usize>,
+    ) -> ReplyReservation<ValueOf<P>> {
+        if !self.accept_request() {
+            return ReplyReservation::Closing;
+        }
+        self.log_no_memory();
+        let in_flight = class.map(|class| self.front.metrics.begin_request(class));
+        self.reject(context, in_flight)
+    }
+
+    /// Returns the budget to which bytes that are not a whole request yet are charged.
+    pub fn memory(&self) -> &Arc<MemoryBudget> {
+        &self.front.memory
+    }
+
+    /// Counts a request that was read. Returns false if it is to be ignored, because the connection
+    /// is closing or the client has disconnected.
+    fn accept_request(&self) -> bool {
+        self.wait_for_room()
+            && !self.connection.disconnected_while_paused()
+            && self.connection.begin_command()
+    }
+
     /// Waits until few enough commands are unanswered for a further one. Returns false if that takes
     /// too long and the connection is closed.
     fn wait_for_room(&self) -> bool {
@@ -96,7 +122,7 @@
         &self,
         context: P::ReplyContext,
         in_flight: InFlightRequest,
-        memory: MemoryCharge,
+        memory: RequestCharge,
     ) -> ReplyReservation<ValueOf<P>> {
         let number = self.front.next_number.fetch_add(1, Ordering::Relaxed);
         let mut state = lock(&self.connection.state);
@@ -118,7 +144,7 @@
     fn reject(
         &self,
         context: P::ReplyContext,
-        in_flight: InFlightRequest,
+        in_flight: Option<InFlightRequest>,
     ) -> ReplyReservation<ValueOf<P>> {
         let answer = Answer::Rejected {
             retry_after: self.front.retry_after_when_full,
@@ -130,7 +156,7 @@
             request: None,
             context,
             reply: Some(Reply::Answer(answer)),
-            in_flight: Some(in_flight),
+            in_flight,
             memory: None,
         });
         self.front.start_writer(self.number, self.connection, state);
@@ -139,7 +165,7 @@
 
     /// Returns the slot for the pending reply to this request. The charge is held by the slot, and
     /// then by the reply until it is written.
-    fn reply_slot(&self, request: u64, mut memory: MemoryCharge) -> ReplySlot<ValueOf<P>> {
+    fn reply_slot(&self, request: u64, mut memory: RequestCharge) -> ReplySlot<ValueOf<P>> {
         let front = self.front.clone();
         let connection = self.connection.clone();
         let connection_number = self.number;
@@ -252,8 +278,9 @@
     }
 
     fn log_no_memory(&self) {
-        if let Some(suppressed) = self.front.memory_budget_throttle.permit() {
-            warn!(self.front.log, "no memory for a request"; "suppressed" => suppressed);
+        if let Some(suppressed) = self.front.memory_throttle.permit() {
+            warn!(self.front.log, "no memory for a request";
+                "charged_kib" => self.front.memory.charged() / 1024, "suppressed" => suppressed);
         }
     }
 
--- a/src/client/watchdog.rs
+++ b/src/client/watchdog.rs
@@ -6,7 +6,7 @@
 use super::protocol::ClientProtocol;
 use super::socket_state::peer_disconnected;
 use super::ClientListener;
-use crate::memory::ResidentMemory;
+use crate::memory::{MemoryHolder, ResidentMemory};
 use crate::threads::lock;
 use slog::warn;
 use std::collections::HashMap;
@@ -60,14 +60,20 @@
         let Some(memory) = ResidentMemory::read() else {
             return;
         };
-        let limit_kib = (self.memory_limit / 1024) as u64;
+        let limit_kib = (self.memory_limits.process / 1024) as u64;
         if memory.total_kib <= limit_kib / 4 * LOGGED_MEMORY_QUARTERS as u64 {
             return;
         }
+        let charged_kib = |holder| self.memory.charged_to(holder) / 1024;
         if let Some(suppressed) = self.resident_memory_throttle.permit() {
             warn!(self.log, "memory close to the limit"; "limit_kib" => limit_kib,
                 "resident_kib" => memory.total_kib, "anonymous_kib" => memory.anonymous_kib,
-                "connections" => lock(&self.connections).len(), "suppressed" => suppressed);
+                "connections" => lock(&self.connections).len(),
+                "connections_kib" => charged_kib(MemoryHolder::Connection),
+                "incomplete_kib" => charged_kib(MemoryHolder::IncompleteCommand),
+                "requests_kib" => charged_kib(MemoryHolder::Request),
+                "attempts_kib" => charged_kib(MemoryHolder::Attempt),
+                "replies_kib" => charged_kib(MemoryHolder::Reply), "suppressed" => suppressed);
         }
     }
 
--- a/src/client/writer.rs
+++ b/src/client/writer.rs
@@ -1,11 +1,12 @@
 //! The thread that writes the replies of a connection, in the order of its commands.
 
 use super::connection::{ClientConnection, ConnectionState, PendingReply};
-use super::memory_budget::MemoryCharge;
 use super::protocol::{ClientProtocol, Reply, ValueOf};
 use super::reader::CLOSE_LINGER;
+use super::request_memory::RequestCharge;
 use super::ClientListener;
 use crate::core::Answer;
+use crate::memory::{MemoryHolder, THREAD_BYTES};
 use crate::metrics::{InFlightRequest, RequestOutcome};
 use crate::threads::{lock, spawn};
 use slog::warn;
@@ -31,7 +32,7 @@
     reply: Reply<ValueOf<P>>,
     in_flight: Option<InFlightRequest>,
     /// Dropped once the reply was written.
-    _memory: Option<MemoryCharge>,
+    _memory: Option<RequestCharge>,
 }
 
 impl<P: ClientProtocol> ClientListener<P> {
@@ -65,6 +66,7 @@
     /// Writes replies in order while the next one is available, and closes the connection after its
     /// last reply.
     pub(super) fn run_writer(&self, number: u64, connection: &ClientConnection<P>) {
+        let _memory = self.memory.charge(MemoryHolder::Reply, THREAD_BYTES);
         loop {
             let ready = match connection.next_reply() {
                 NextReply::Ready(ready) => ready,
--- a/src/config/common.rs
+++ b/src/config/common.rs
@@ -3,6 +3,7 @@
 use super::{EndpointUpdate, QuotaLeaseConfig};
 use crate::decision::Settings;
 use crate::membership::fleet::FleetSettings;
+use crate::memory::MemoryLimits;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -12,18 +13,6 @@
 pub(super) const MAX_OPEN_REQUESTS: u64 = 1_000;
 /// Default and maximum number of file descriptors.
 pub(super) const MAX_DESCRIPTORS: u64 = 1_024;
-/// Default and maximum of the memory limit that is counted on, in MiB.
-pub(super) const MAX_MEMORY_MIB: f64 = 192.0;
-/// The unanswered requests may hold one part in this many of the memory limit. The rest is for the
-/// buffers and threads of connections, which the number of file descriptors bounds.
-const REQUEST_MEMORY_PARTS: f64 = 4.0;
-/// The state of accounts may hold one part in this many of the memory limit.
-const ACCOUNT_MEMORY_PARTS: f64 = 8.0;
-/// Memory that the state of one account holds, in bytes, with its place in the engine's maps.
-const ACCOUNT_BYTES: f64 = 768.0;
-/// Number of bytes in one MiB.
-const MIB: f64 = 1_048_576.0;
-
 /// The configuration that is common to all limiters.
 pub struct CommonConfig {
     /// Name of the limiter. It stays the same over restarts.
@@ -47,10 +36,8 @@
     pub max_descriptors: usize,
     /// Maximum number of requests that may be open at once.
     pub max_open_requests: usize,
-    /// The memory limit of the process, in bytes.
-    pub memory_limit: usize,
-    /// Maximum memory that unanswered requests may hold together, in bytes.
-    pub max_request_bytes: usize,
+    /// How the memory limit of the process is divided.
+    pub memory: MemoryLimits,
     /// Timeouts of connections to upstream servers.
     pub connections: ConnectionSettings,
     /// Settings of the decision engine.
@@ -73,23 +60,6 @@
     configured.min(MAX_DESCRIPTORS) as usize
 }
 
-/// Returns a memory limit in MiB in bytes, as far as it is counted on.
-pub(super) fn counted_memory(memory_mib: f64) -> usize {
-    (memory_mib.clamp(1.0, MAX_MEMORY_MIB) * MIB) as usize
-}
-
-/// Returns the memory that unanswered requests may hold under a memory limit in MiB, in bytes.
-pub(super) fn request_memory(memory_mib: f64) -> usize {
-    let counted = memory_mib.clamp(1.0, MAX_MEMORY_MIB);
-    (counted * MIB / REQUEST_MEMORY_PARTS) as usize
-}
-
-/// Returns the maximum number of accounts whose state is kept under a memory limit in MiB.
-pub(super) fn max_accounts(memory_mib: f64) -> usize {
-    let counted = memory_mib.clamp(1.0, MAX_MEMORY_MIB);
-    (counted * MIB / ACCOUNT_MEMORY_PARTS / ACCOUNT_BYTES) as usize
-}
-
 /// Limits the configured number of open requests to the range from 1 to [`MAX_OPEN_REQUESTS`].
 pub(super) fn bounded_open_requests(configured: u64) -> usize {
     configured.clamp(1, MAX_OPEN_REQUESTS) as usize
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -10,6 +10,7 @@
 mod endpoints;
 mod error;
 mod membership;
+mod memory;
 mod openapi;
 mod platform;
 mod quota_lease;
--- a/src/config/openapi.rs
+++ b/src/config/openapi.rs
@@ -2,11 +2,11 @@
 
 use super::accounts::{read_accounts, read_plan, AccountConfig, NamedPlan};
 use super::common::{
-    bounded_descriptors, bounded_open_requests, counted_memory, request_memory, MAX_DESCRIPTORS,
-    MAX_MEMORY_MIB, MAX_OPEN_REQUESTS,
+    bounded_descriptors, bounded_open_requests, MAX_DESCRIPTORS, MAX_OPEN_REQUESTS,
 };
 use super::decision::check_settings;
 use super::membership::{read_membership, Member};
+use super::memory::{memory_limits, MAX_MEMORY_MIB};
 use super::reader::{parse, Section};
 use super::store::{read_store, StoreConfig, StoreSection};
 use super::{CommonConfig, ConfigError, ConnectionSettings, EndpointUpdate, QuotaLeaseConfig};
@@ -163,7 +163,6 @@
     endpoints: Vec<(Endpoint, SocketAddr)>,
 ) -> Result<CommonConfig, ConfigError> {
     let limits = root.section("limits");
-    let memory_mib = limits.number_or("memory_mb", MAX_MEMORY_MIB)?;
     let seed = root.integer_or("seed", u64::from(std::process::id()))?;
     let connections = ConnectionSettings {
         idle_timeout: Duration::from_millis(limits.integer_or("idle_ms", 30_000)?),
@@ -180,8 +179,7 @@
         seed,
         max_descriptors: bounded_descriptors(limits.integer_or("sockets", MAX_DESCRIPTORS)?),
         max_open_requests: bounded_open_requests(limits.integer_or("max_open", MAX_OPEN_REQUESTS)?),
-        memory_limit: counted_memory(memory_mib),
-        max_request_bytes: request_memory(memory_mib),
+        memory: memory_limits(limits.number_or("memory_mb", MAX_MEMORY_MIB)?),
         connections,
         settings,
         initial_endpoints: EndpointUpdate {
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -1,12 +1,12 @@
 //! Reads the configuration of a limiter on the platform.
 
 use super::common::{
-    bounded_descriptors, bounded_open_requests, counted_memory, max_accounts, request_memory,
-    MAX_DESCRIPTORS, MAX_MEMORY_MIB, MAX_OPEN_REQUESTS,
+    bounded_descriptors, bounded_open_requests, MAX_DESCRIPTORS, MAX_OPEN_REQUESTS,
 };
 use super::decision::check_settings;
 use super::endpoints::read_endpoint_update;
 use super::membership::{read_membership, Member};
+use super::memory::{max_accounts, memory_limits, MAX_MEMORY_MIB};
 use super::reader::{parse, positive, Section};
 use super::{CommonConfig, ConfigError, ConnectionSettings, EndpointUpdate};
 use crate::decision::{Micros, Settings};
@@ -101,8 +101,7 @@
             seed,
             max_descriptors: bounded_descriptors(sockets),
             max_open_requests: bounded_open_requests(max_open),
-            memory_limit: counted_memory(memory_mib),
-            max_request_bytes: request_memory(memory_mib),
+            memory: memory_limits(memory_mib),
             connections,
             settings,
             initial_endpoints,
--- /dev/null
+++ b/src/memory/budget.rs
@@ -0,0 +1,171 @@
+//! The budget of a process, and charges to it.
+//!
+//! Each kind of holder may use the budget up to a ceiling of its own. What serves requests that
+//! were taken has the highest ceiling, and what may still be turned away the lowest, so that bytes
+//! of clients that never complete a command can't take the room that replies need.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+
+/// Ceilings are multiples of one part in this many of the budget.
+const PARTS: usize = 16;
+
+/// How the memory limit of a process is divided, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct MemoryLimits {
+    /// The whole process.
+    pub process: usize,
+    /// Everything that is charged to the budget.
+    pub charged: usize,
+    /// The requests without a written reply and their replies.
+    pub requests: usize,
+}
+
+/// What memory is held for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum MemoryHolder {
+    /// Bytes of a command that is not complete and does not fit in a small buffer.
+    IncompleteCommand,
+    /// A connection of a client: its reader, its state and a small buffer.
+    Connection,
+    /// A request without a written reply.
+    Request,
+    /// The worker of an attempt at an upstream server.
+    Attempt,
+    /// A response until it is written, and the writer of replies.
+    Reply,
+}
+
+impl MemoryHolder {
+    const COUNT: usize = 5;
+
+    /// Returns up to how many [`PARTS`] of the budget may be charged in total for a further charge
+    /// of this kind.
+    fn total_parts(self) -> usize {
+        match self {
+            Self::IncompleteCommand => 13,
+            Self::Connection => 14,
+            Self::Request => 15,
+            Self::Attempt | Self::Reply => PARTS,
+        }
+    }
+
+    /// Returns how many [`PARTS`] of the budget this kind may hold.
+    fn own_parts(self) -> usize {
+        match self {
+            Self::IncompleteCommand => 4,
+            _ => PARTS,
+        }
+    }
+}
+
+/// The memory that a process may hold for its peers.
+#[derive(Debug)]
+pub struct MemoryBudget {
+    /// In bytes.
+    limit: usize,
+    /// Whether another process of this limiter holds memory too. Each then has half of the limit.
+    is_shared: AtomicBool,
+    /// In bytes, over all holders.
+    total: AtomicUsize,
+    /// In bytes, by holder.
+    by_holder: [AtomicUsize; MemoryHolder::COUNT],
+}
+
+impl MemoryBudget {
+    /// Returns a budget of `limit` bytes.
+    pub fn new(limit: usize) -> Arc<Self> {
+        Arc::new(Self {
+            limit,
+            is_shared: AtomicBool::new(false),
+            total: AtomicUsize::new(0),
+            by_holder: Default::default(),
+        })
+    }
+
+    /// Sets whether another process of this limiter holds memory too, as during an upgrade.
+    pub fn set_shared(&self, is_shared: bool) {
+        self.is_shared.store(is_shared, Ordering::Relaxed);
+    }
+
+    /// Whether another process of this limiter holds memory too.
+    pub fn is_shared(&self) -> bool {
+        self.is_shared.load(Ordering::Relaxed)
+    }
+
+    /// Returns what is charged to all holders, in bytes.
+    pub fn charged(&self) -> usize {
+        self.total.load(Ordering::Relaxed)
+    }
+
+    /// Returns what is charged to holders of this kind, in bytes.
+    pub fn charged_to(&self, holder: MemoryHolder) -> usize {
+        self.by_holder[holder as usize].load(Ordering::Relaxed)
+    }
+
+    /// Whether `bytes` more fit for a holder of this kind.
+    pub fn has_room(&self, holder: MemoryHolder, bytes: usize) -> bool {
+        self.fits(self.charged(), holder.total_parts(), bytes)
+            && self.fits(self.charged_to(holder), holder.own_parts(), bytes)
+    }
+
+    fn fits(&self, charged: usize, parts: usize, bytes: usize) -> bool {
+        let limit = if self.is_shared() {
+            self.limit / 2
+        } else {
+            self.limit
+        };
+        charged + bytes <= limit / PARTS * parts
+    }
+
+    /// Charges `bytes` if they fit for a holder of this kind.
+    pub fn try_charge(
+        self: &Arc<Self>,
+        holder: MemoryHolder,
+        bytes: usize,
+    ) -> Option<MemoryCharge> {
+        self.has_room(holder, bytes)
+            .then(|| self.charge(holder, bytes))
+    }
+
+    /// Charges `bytes` even if they exceed the budget: what was taken on is never dropped.
+    pub fn charge(self: &Arc<Self>, holder: MemoryHolder, bytes: usize) -> MemoryCharge {
+        self.total.fetch_add(bytes, Ordering::Relaxed);
+        self.by_holder[holder as usize].fetch_add(bytes, Ordering::Relaxed);
+        MemoryCharge {
+            budget: self.clone(),
+            holder,
+            bytes,
+        }
+    }
+}
+
+/// A charge to a budget, which ends when this value is dropped.
+#[derive(Debug)]
+pub struct MemoryCharge {
+    budget: Arc<MemoryBudget>,
+    holder: MemoryHolder,
+    bytes: usize,
+}
+
+impl MemoryCharge {
+    /// Extends the charge to `bytes`, if it is smaller. Returns false if that does not fit.
+    pub fn try_grow(&mut self, bytes: usize) -> bool {
+        let added = bytes.saturating_sub(self.bytes);
+        if added == 0 {
+            return true;
+        }
+        let Some(mut more) = self.budget.try_charge(self.holder, added) else {
+            return false;
+        };
+        self.bytes += std::mem::take(&mut more.bytes);
+        true
+    }
+}
+
+impl Drop for MemoryCharge {
+    fn drop(&mut self) {
+        self.budget.total.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.budget.by_holder[self.holder as usize].fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -1,5 +1,15 @@
-//! The memory that the limiter uses.
+//! Accounting of the memory that a limiter holds for its peers.
+//!
+//! Everything that grows with the number or the behaviour of peers is charged to one
+//! [`MemoryBudget`] while it is held. What does not fit is not read any further, or is rejected.
+//! [`ResidentMemory`] is what the system counts, for the log.
 
+mod budget;
 mod resident;
 
+pub use budget::{MemoryBudget, MemoryCharge, MemoryHolder, MemoryLimits};
 pub use resident::ResidentMemory;
+
+/// Memory that a running thread needs, in bytes: the pages of its stack that it has touched, and
+/// the state that the allocator keeps for it.
+pub const THREAD_BYTES: usize = 20 * 1024;
--- a/src/openapi/client_protocol.rs
+++ b/src/openapi/client_protocol.rs
@@ -6,10 +6,12 @@
 use crate::config::AccountConfig;
 use crate::core::{Answer, IncomingRequest};
 use crate::decision::AccountId;
+use crate::memory::MemoryHolder;
 use crate::openapi::description::{Description, Operation, OperationMatch};
 use crate::openapi::upstream_protocol::{
     HttpBody, HttpRequest, HttpResponse, HttpUpstreamProtocol,
 };
+use crate::protocol::buffers::SMALL_BUFFER_BYTES;
 use crate::protocol::http::{header, Body, ReadError, Reader, RequestHead};
 use std::collections::HashMap;
 use std::io::{self, Write};
@@ -44,6 +46,16 @@
     }
 }
 
+/// What was read from a connection.
+enum Received {
+    /// A whole request.
+    Request(ReceivedRequest),
+    /// The head of a request whose body was skipped, as there was no memory for it.
+    WithoutBody(RequestHead),
+    /// The end of the connection.
+    End,
+}
+
 /// The operation that a request calls, and the account that it is charged to.
 struct RequestTarget<'a> {
     operation: &'a Operation,
@@ -63,11 +75,13 @@
     type ReplyContext = ReplyContext;
 
     fn read(&self, from: &mut InterruptibleReader, session: &Session<Self>) -> Vec<u8> {
-        let mut reader = Reader::new(from);
+        let memory = session.memory().clone();
+        let mut reader = Reader::with_memory(from, memory, MemoryHolder::IncompleteCommand);
         loop {
-            let request = match self.read_request(&mut reader, session) {
-                Ok(Some(request)) => request,
-                Ok(None) => return reader.unread().to_vec(),
+            let next = match self.read_request(&mut reader, session) {
+                Ok(Received::Request(request)) => self.process(request, session),
+                Ok(Received::WithoutBody(head)) => self.reject_for_memory(&head, session),
+                Ok(Received::End) => return reader.unread().to_vec(),
                 Err(problem) => {
                     // The connection must be closed, as the start of the next request is unknown.
                     let text = problem.encode(&ReplyContext::CLOSING);
@@ -75,7 +89,7 @@
                     return Vec::new();
                 }
             };
-            if self.process(request, session) == NextRequest::Stop {
+            if next == NextRequest::Stop {
                 return Vec::new();
             }
         }
@@ -134,14 +148,23 @@
         }
     }
 
+    /// Rejects a request whose body was skipped.
+    fn reject_for_memory(&self, head: &RequestHead, session: &Session<Self>) -> NextRequest {
+        let context = reply_context(head);
+        let target = match self.identify(head) {
+            Ok(target) => target,
+            Err(problem) => return reply_with_problem(&problem, context, session),
+        };
+        match session.reject_for_memory(context, Some(target.operation.class)) {
+            ReplyReservation::Closing => NextRequest::Stop,
+            _ => next_request(head.keep_alive),
+        }
+    }
+
     /// Submits a request to the core, or replies with a problem if its operation or account is
     /// invalid.
     fn process(&self, request: ReceivedRequest, session: &Session<Self>) -> NextRequest {
-        let context = ReplyContext {
-            keep_alive: request.head.keep_alive,
-            is_http_1_1: request.head.is_http_1_1,
-            is_head: request.head.method == "HEAD",
-        };
+        let context = reply_context(&request.head);
         match self.identify(&request.head) {
             Ok(target) => self.submit(request, &target, context, session),
             Err(problem) => reply_with_problem(&problem, context, session),
@@ -191,41 +214,46 @@
         Duration::from_micros(class.map_or(0, |class| class.deadline))
     }
 
-    /// Reads one request with its body. Returns `None` at the end of the connection.
+    /// Reads one request with its body.
     fn read_request(
         &self,
         reader: &mut Reader<&mut InterruptibleReader>,
         session: &Session<Self>,
-    ) -> Result<Option<ReceivedRequest>, Problem> {
+    ) -> Result<Received, Problem> {
         let head = match reader.read_request() {
             Ok(head) => head,
-            Err(ReadError::Closed | ReadError::Io(_)) => return Ok(None),
+            Err(ReadError::Closed | ReadError::Io(_)) => return Ok(Received::End),
             Err(ReadError::Malformed(reason)) => return Err(Problem::new(400, reason)),
             Err(ReadError::TooLarge) => return Err(Problem::new(431, "the header is too large")),
+            Err(ReadError::NoMemory) => return Err(Problem::rejected(Duration::ZERO, false)),
         };
         check_head(&head)?;
         if awaits_continue(&head) {
             // The interim response is queued, as it must follow the replies to earlier requests.
             let interim = Reply::direct(CONTINUE_RESPONSE);
             if !session.reply_directly(ReplyContext::INTERIM, interim) {
-                return Ok(None);
+                return Ok(Received::End);
             }
         }
         session.note_partial_command();
         // The head was consumed, so the connection can't be handed over to another process until
         // the body is read.
         reader.source().set_uninterruptible(true);
-        let body = reader.read_body(head.body, MAX_BODY_BYTES);
+        let mut charge = session.memory().charge(MemoryHolder::IncompleteCommand, 0);
+        let mut has_memory = |bytes| bytes <= SMALL_BUFFER_BYTES || charge.try_grow(bytes);
+        let body = reader.read_body_within(head.body, MAX_BODY_BYTES, &mut has_memory);
         reader.source().set_uninterruptible(false);
         match body {
-            Ok(body) => Ok(Some(ReceivedRequest {
+            Ok(Some(body)) => Ok(Received::Request(ReceivedRequest {
                 head,
                 body,
                 received_at: Instant::now(),
             })),
-            Err(ReadError::Closed | ReadError::Io(_)) => Ok(None),
+            Ok(None) => Ok(Received::WithoutBody(head)),
+            Err(ReadError::Closed | ReadError::Io(_)) => Ok(Received::End),
             Err(ReadError::Malformed(reason)) => Err(Problem::new(400, reason)),
             Err(ReadError::TooLarge) => Err(body_too_large()),
+            Err(ReadError::NoMemory) => Err(Problem::rejected(Duration::ZERO, false)),
         }
     }
 
@@ -274,6 +302,15 @@
     }
 }
 
+/// Returns what is needed of a request to write its reply.
+fn reply_context(head: &RequestHead) -> ReplyContext {
+    ReplyContext {
+        keep_alive: head.keep_alive,
+        is_http_1_1: head.is_http_1_1,
+        is_head: head.method == "HEAD",
+    }
+}
+
 /// Replies with a problem to a request that was read completely, after which the connection remains
 /// usable.
 fn reply_with_problem(
--- a/src/openapi/reply.rs
+++ b/src/openapi/reply.rs
@@ -3,6 +3,7 @@
 
 use super::forwarded_headers::write_forwarded_headers;
 use super::upstream_protocol::{HttpBody, HttpResponse};
+use crate::protocol::buffers::SMALL_BUFFER_BYTES;
 use crate::protocol::http::{header, Head};
 use std::io::{self, Write};
 use std::net::TcpStream;
@@ -154,13 +155,22 @@
     context: &ReplyContext,
     response: HttpResponse,
 ) -> io::Result<()> {
-    let HttpResponse { head, body } = response;
+    // The charge ends once the response was written.
+    let HttpResponse {
+        head,
+        body,
+        charge: _charge,
+    } = response;
     let mut text = encode_head(context, &head, body.length())?;
     match body {
-        HttpBody::Complete(body) => {
+        HttpBody::Complete(body) if body.len() <= SMALL_BUFFER_BYTES => {
             text.extend_from_slice(&body);
             client.write_all(&text)
         }
+        HttpBody::Complete(body) => {
+            client.write_all(&text)?;
+            client.write_all(&body)
+        }
         HttpBody::Streamed(body) => {
             client.write_all(&text)?;
             body.forward(client)
--- a/src/openapi/upstream_protocol.rs
+++ b/src/openapi/upstream_protocol.rs
@@ -4,8 +4,10 @@
 use super::forwarded_headers::write_forwarded_headers;
 use super::streamed_body::{StreamEnd, StreamedBody};
 use crate::decision::Outcome;
+use crate::memory::{MemoryBudget, MemoryCharge, MemoryHolder};
 use crate::openapi::description::Operation;
 use crate::platform::upstream_protocol::STALL_TIMEOUT;
+use crate::protocol::buffers::SMALL_BUFFER_BYTES;
 use crate::protocol::http::{Body, Head, Headers, ReadError, Reader};
 use crate::upstream::{Connection, ConnectionReader, Exchange, UpstreamProtocol};
 use std::io::{self, ErrorKind, Write};
@@ -45,6 +47,8 @@
     pub head: Head,
     /// Response body.
     pub body: HttpBody,
+    /// Charge for a body that was received completely and is not short.
+    pub charge: Option<MemoryCharge>,
 }
 
 /// The body of a response.
@@ -89,6 +93,10 @@
             write!(text, "Content-Length: {}\r\n", request.body.len())?;
         }
         text.extend_from_slice(b"\r\n");
+        if request.body.len() > SMALL_BUFFER_BYTES {
+            to.write_all(&text)?;
+            return to.write_all(&request.body);
+        }
         text.extend_from_slice(&request.body);
         to.write_all(&text)
     }
@@ -97,9 +105,11 @@
         &self,
         request: &HttpRequest,
         connection: &Arc<Connection>,
+        memory: &Arc<MemoryBudget>,
         on_value_start: &dyn Fn(HttpResponse),
     ) -> Exchange<HttpResponse> {
-        let mut reader = Reader::new(ConnectionReader(connection.clone()));
+        let source = ConnectionReader(connection.clone());
+        let mut reader = Reader::with_memory(source, memory.clone(), MemoryHolder::Reply);
         let head = match read_final_head(&mut reader, &request.method) {
             Ok(head) => head,
             Err(error) => return failed(&error),
@@ -109,11 +119,20 @@
             500.. => Outcome::Error,
             _ => Outcome::Ok,
         };
-        match head.body {
-            Body::Length(length) if outcome == Outcome::Ok && length > MAX_BUFFERED_BODY_BYTES => {
-                stream_response(reader, head, length, connection, on_value_start)
+        match (outcome, head.body) {
+            (Outcome::Ok, Body::Length(length)) => {
+                let charge = memory
+                    .try_charge(MemoryHolder::Reply, length)
+                    .filter(|_| length <= MAX_BUFFERED_BODY_BYTES);
+                match charge {
+                    Some(charge) => buffer_response(reader, head, charge),
+                    None => stream_response(reader, head, length, connection, on_value_start),
+                }
+            }
+            (Outcome::Ok, _) => {
+                buffer_response(reader, head, memory.charge(MemoryHolder::Reply, 0))
             }
-            _ => buffer_response(reader, head, outcome),
+            _ => skip_response(reader, &head, outcome),
         }
     }
 
@@ -137,28 +156,51 @@
     Ok(head)
 }
 
-/// Receives the whole body of a response.
+/// Receives the whole body of a response, which is charged as it gets longer.
 fn buffer_response(
     mut reader: Reader<ConnectionReader>,
     head: Head,
-    outcome: Outcome,
+    mut charge: MemoryCharge,
 ) -> Exchange<HttpResponse> {
     let framing = head.body;
-    let body = match reader.read_body(framing, MAX_UNSIZED_BODY_BYTES) {
-        Ok(body) => body,
+    let mut has_memory = |bytes| charge.try_grow(bytes);
+    let body = match reader.read_body_within(framing, MAX_UNSIZED_BODY_BYTES, &mut has_memory) {
+        Ok(Some(body)) => body,
+        Ok(None) => return failed(&ReadError::NoMemory),
         Err(error) => return failed(&error),
     };
     Exchange {
-        outcome,
+        outcome: Outcome::Ok,
         load: Vec::new(),
-        reusable: head.keep_alive && framing != Body::UntilClose && reader.is_drained(),
+        reusable: is_reusable(&reader, &head),
         value: Some(HttpResponse {
             head,
             body: HttpBody::Complete(body),
+            charge: Some(charge),
         }),
     }
 }
 
+/// Reads a response that is not passed on up to its end, so that its connection can be used again.
+fn skip_response(
+    mut reader: Reader<ConnectionReader>,
+    head: &Head,
+    outcome: Outcome,
+) -> Exchange<HttpResponse> {
+    match reader.read_body_within(head.body, MAX_UNSIZED_BODY_BYTES, &mut |_| false) {
+        Ok(_) => Exchange {
+            reusable: is_reusable(&reader, head),
+            ..Exchange::failed(outcome)
+        },
+        Err(error) => failed(&error),
+    }
+}
+
+/// Whether the connection can be used again after a response that was read up to its end.
+fn is_reusable(reader: &Reader<ConnectionReader>, head: &Head) -> bool {
+    head.keep_alive && head.body != Body::UntilClose && reader.is_drained()
+}
+
 /// Passes a response on before its body is received, and waits until the body has been forwarded.
 fn stream_response(
     reader: Reader<ConnectionReader>,
@@ -176,6 +218,7 @@
     on_value_start(HttpResponse {
         head,
         body: HttpBody::Streamed(body),
+        charge: None,
     });
     match end_receiver.recv() {
         Ok(StreamEnd::Complete { is_drained }) => Exchange {
@@ -196,6 +239,6 @@
     Exchange::failed(match error {
         ReadError::Io(error) if error.kind() == ErrorKind::WouldBlock => Outcome::Timeout,
         ReadError::Closed | ReadError::Io(_) => Outcome::Reset,
-        ReadError::Malformed(_) | ReadError::TooLarge => Outcome::Error,
+        ReadError::Malformed(_) | ReadError::TooLarge | ReadError::NoMemory => Outcome::Error,
     })
 }
--- a/src/platform/command_reader.rs
+++ b/src/platform/command_reader.rs
@@ -3,10 +3,12 @@
 use crate::client::interruptible::InterruptibleReader;
 use crate::client::{Reply, ReplyReservation, Session};
 use crate::core::IncomingRequest;
+use crate::memory::MemoryHolder;
 use crate::platform::client_protocol::PlatformClientProtocol;
 use crate::platform::command::{CommandError, RequestCommand};
 use crate::platform::upstream_protocol::{PlatformCall, Served, FIELDS_INDEX};
 use crate::protocol::buffers::{Buffer, BUFFER_BYTES, SMALL_BUFFER_BYTES};
+use crate::protocol::command_skipper::CommandSkipper;
 use crate::protocol::resp;
 use std::io;
 use std::ops::{ControlFlow, Range};
@@ -22,11 +24,20 @@
 /// the same amount.
 const REJECTED_COMMAND_PAUSE: Duration = Duration::from_millis(10);
 
+/// A command that is rejected once it was received completely, as there is no memory for it.
+struct SkippedCommand {
+    skipper: CommandSkipper,
+    /// Index of its class; none if it names no configured class.
+    class: Option<usize>,
+}
+
 /// Reader of the commands on one connection, with the bytes that were received and not yet processed.
 pub(super) struct CommandReader<'a, 'session> {
     protocol: &'a PlatformClientProtocol,
     session: &'a Session<'session, PlatformClientProtocol>,
     buffer: Buffer,
+    /// The command that is being skipped, as there is no memory for it.
+    skipped: Option<SkippedCommand>,
     /// Index of the first unprocessed byte in the buffer.
     start: usize,
     /// Index of the end of the received bytes.
@@ -49,6 +60,7 @@
             protocol,
             session,
             buffer: Buffer::empty(),
+            skipped: None,
             start: 0,
             end: 0,
             rejected_commands: 0,
@@ -61,6 +73,9 @@
     pub(super) fn receive(&mut self, from: &mut InterruptibleReader) -> io::Result<usize> {
         self.is_behind |= self.session.take_reply_wait();
         self.is_behind = self.is_behind && from.has_received();
+        self.make_room();
+        // Bytes that were skipped can't be handed over to another process.
+        from.set_uninterruptible(self.skipped.is_some());
         let read = self.buffer.read(self.end, from)?;
         self.end += read;
         if !self.is_behind {
@@ -69,6 +84,60 @@
         Ok(read)
     }
 
+    /// Makes the buffer larger if a long command is being received. If there is no memory for it,
+    /// the command is skipped.
+    fn make_room(&mut self) {
+        if !self.buffer.should_grow(self.end) || self.skipped.is_some() {
+            return;
+        }
+        let memory = self.session.memory();
+        let charge = memory.try_charge(MemoryHolder::IncompleteCommand, BUFFER_BYTES);
+        if charge.is_some() {
+            self.buffer.grow(self.end, charge);
+        } else if self.buffer.is_full(self.end) {
+            self.begin_skipping();
+        }
+    }
+
+    /// Skips the command at the start of the buffer, which is incomplete.
+    fn begin_skipping(&mut self) {
+        let prefix = resp::words_received(self.unprocessed());
+        let class = prefix
+            .get(FIELDS_INDEX)
+            .and_then(|fields| self.protocol.class_of_rejected(fields));
+        self.skipped = Some(SkippedCommand {
+            skipper: CommandSkipper::default(),
+            class,
+        });
+        // The received bytes are a valid prefix of a command, and are skipped without an error.
+        _ = self.skip_received();
+        self.discard_processed();
+    }
+
+    /// Skips what was received of the command that is being skipped. Once it is complete, it is
+    /// rejected: nothing has run, so that is harmless.
+    fn skip_received(&mut self) -> ControlFlow<()> {
+        let Some(command) = &mut self.skipped else {
+            return ControlFlow::Continue(());
+        };
+        match command.skipper.skip(&self.buffer[self.start..self.end]) {
+            Ok(size) => self.start += size,
+            Err(error) => return self.close(error.into()),
+        }
+        if command.skipper.skipped() > MAX_COMMAND_BYTES {
+            return self.close(CommandError::TooLong);
+        }
+        if !command.skipper.is_at_end() {
+            return ControlFlow::Continue(());
+        }
+        let class = command.class;
+        self.skipped = None;
+        match self.session.reject_for_memory((), class) {
+            ReplyReservation::Closing => ControlFlow::Break(()),
+            _ => ControlFlow::Continue(()),
+        }
+    }
+
     /// Returns the bytes that were received and not yet processed.
     pub(super) fn unprocessed(&self) -> &[u8] {
         &self.buffer[self.start..self.end]
@@ -79,10 +148,12 @@
     pub(super) fn discard_processed(&mut self) {
         if self.start < self.end {
             self.buffer.copy_within(self.start..self.end, 0);
-            self.session.note_partial_command();
         } else {
             self.buffer = Buffer::empty();
         }
+        if self.start < self.end || self.skipped.is_some() {
+            self.session.note_partial_command();
+        }
         self.end -= self.start;
         self.start = 0;
     }
@@ -90,7 +161,8 @@
     /// Processes all complete commands. Returns `Break` if the connection must not be read any
     /// further.
     pub(super) fn process_commands(&mut self) -> ControlFlow<()> {
-        while self.start < self.end {
+        self.skip_received()?;
+        while self.start < self.end && self.skipped.is_none() {
             let words = match self.next_command() {
                 Ok(Some(words)) => words,
                 Ok(None) => break,
@@ -245,6 +317,8 @@
             remaining = Buffer::with_room_for(unprocessed.len().max(SMALL_BUFFER_BYTES));
             remaining[..unprocessed.len()].copy_from_slice(unprocessed);
         }
+        // The request is charged for the buffer that it takes.
+        self.buffer.move_charge(&mut remaining);
         self.end -= self.start;
         self.start = 0;
         std::mem::replace(&mut self.buffer, remaining)
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,6 +1,7 @@
 //! Platform front of the limiter: its client and upstream protocols, with service discovery and the
 //! quota counter.
 
+mod call;
 pub mod client_protocol;
 mod command;
 mod command_reader;
--- a/src/platform/streamed_value.rs
+++ b/src/platform/streamed_value.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 
 /// Maximum number of bytes received at a time.
-const RECEIVE_BYTES: usize = 16 * 1024;
+const RECEIVE_BYTES: usize = 8 * 1024;
 
 /// A value that is copied to the client while it is received, by the thread that writes to the
 /// client. A slow client thus slows down only the connection on which the value is received, and
--- a/src/platform/upstream_protocol.rs
+++ b/src/platform/upstream_protocol.rs
@@ -1,10 +1,13 @@
 //! Upstream protocol of the platform: writes attempts as RESP commands and reads the replies of
 //! upstream servers.
 
+pub use super::call::{PlatformCall, FIELDS_INDEX};
+
 use crate::decision::Outcome;
+use crate::memory::{MemoryBudget, MemoryHolder};
 use crate::platform::streamed_value::{StreamEnd, StreamedValue};
 use crate::protocol::buffers::{Buffer, BUFFER_BYTES};
-use crate::protocol::resp::{self, Reply};
+use crate::protocol::resp::{self, Reply, MAX_VALUE_BYTES};
 use crate::upstream::{Connection, Exchange, UpstreamProtocol};
 use crossbeam_channel::bounded;
 use std::io::{self, ErrorKind, Read, Write};
@@ -17,11 +20,6 @@
 const SERVED_PREFIX: &[u8] = b"*3\r\n";
 /// Index of the load report in that array.
 const LOAD_REPORT_INDEX: usize = 2;
-/// Upper bound of the bytes that a word of an encoded command needs besides its own: its length
-/// line, its line end and the additional digits of a longer deadline.
-const MAX_FRAMING_BYTES: usize = 32;
-/// Index of the command word that holds the fields.
-pub const FIELDS_INDEX: usize = 3;
 /// Time without received bytes after which an upstream server that streams a value is considered to
 /// have failed. The request's deadline does not apply once the value has begun.
 pub const STALL_TIMEOUT: Duration = Duration::from_secs(5);
@@ -34,47 +32,6 @@
 /// load report are incomplete.
 const MAX_TRAILING_BYTES: usize = 4 * TRAILING_RECEIVE_BYTES;
 
-/// A command that is forwarded as received except for its deadline.
-pub struct PlatformCall {
-    /// Buffer that contains the client's command.
-    pub buffer: Buffer,
-    /// The words of the command, as ranges of the buffer.
-    pub words: Vec<Range<usize>>,
-    /// Range of the deadline's digits in the buffer; empty if the command has no deadline.
-    pub deadline_at: Range<usize>,
-}
-
-impl PlatformCall {
-    /// Returns an upper bound of the length of the encoded command, in bytes.
-    fn max_encoded_bytes(&self) -> usize {
-        let words = self.words.iter().map(|word| word.len() + MAX_FRAMING_BYTES);
-        words.sum::<usize>() + MAX_FRAMING_BYTES
-    }
-
-    /// Writes the command with `time_left` as its deadline. Returns the number of bytes written.
-    fn encode(&self, mut to: &mut [u8], time_left: Duration) -> io::Result<usize> {
-        let capacity = to.len();
-        let deadline = time_left.as_millis().max(1).to_string();
-        write!(to, "*{}\r\n", self.words.len())?;
-        for (index, word) in self.words.iter().enumerate() {
-            if index == FIELDS_INDEX && !self.deadline_at.is_empty() {
-                let before = &self.buffer[word.start..self.deadline_at.start];
-                let after = &self.buffer[self.deadline_at.end..word.end];
-                let length = before.len() + deadline.len() + after.len();
-                write!(to, "${length}\r\n")?;
-                to.write_all(before)?;
-                to.write_all(deadline.as_bytes())?;
-                to.write_all(after)?;
-            } else {
-                write!(to, "${}\r\n", word.len())?;
-                to.write_all(&self.buffer[word.clone()])?;
-            }
-            to.write_all(b"\r\n")?;
-        }
-        Ok(capacity - to.len())
-    }
-}
-
 /// A value from an upstream server.
 pub enum Served {
     /// The whole value was received.
@@ -96,24 +53,18 @@
     type Call = PlatformCall;
     type Value = Served;
 
-    fn write(
-        &self,
-        call: &PlatformCall,
-        mut to: &TcpStream,
-        time_left: Duration,
-    ) -> io::Result<()> {
-        let mut command = Buffer::with_room_for(call.max_encoded_bytes());
-        let size = call.encode(&mut command, time_left)?;
-        to.write_all(&command[..size])
+    fn write(&self, call: &PlatformCall, to: &TcpStream, time_left: Duration) -> io::Result<()> {
+        call.write(to, time_left)
     }
 
     fn read(
         &self,
         _: &PlatformCall,
         from: &Arc<Connection>,
+        memory: &Arc<MemoryBudget>,
         on_value_start: &dyn Fn(Served),
     ) -> Exchange<Served> {
-        let exchange = match self.read_answer(&from.stream) {
+        let exchange = match self.read_answer(&from.stream, Some(memory)) {
             Answer::Complete(exchange) => exchange,
             Answer::LongValue { received, length } => {
                 return self.stream_value(from, received, length, on_value_start)
@@ -133,7 +84,7 @@
         {
             return Exchange::failed(Outcome::ConnectFailed);
         }
-        match self.read_answer(stream) {
+        match self.read_answer(stream, None) {
             Answer::Complete(exchange) => exchange,
             Answer::LongValue { .. } => Exchange::failed(Outcome::Error),
         }
@@ -154,7 +105,9 @@
 }
 
 impl PlatformUpstreamProtocol {
-    fn read_answer(&self, stream: &TcpStream) -> Answer {
+    /// Reads a reply. A buffer of full size for it is charged to `memory`. If that has no room, or
+    /// there is no `memory`, only short replies are read, and of others the beginning of a value.
+    fn read_answer(&self, stream: &TcpStream, memory: Option<&Arc<MemoryBudget>>) -> Answer {
         let failed = |outcome| Answer::Complete(Exchange::failed(outcome));
         let mut buffer = Buffer::empty();
         let mut end = 0;
@@ -165,14 +118,14 @@
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     return failed(Outcome::Timeout)
                 }
+                Err(error) if error.kind() == ErrorKind::OutOfMemory => {
+                    return failed(Outcome::Error)
+                }
                 Err(_) => return failed(Outcome::Reset),
             }
             let received = &buffer[..end];
-            if let Some((start, length)) = resp::long_value(received) {
-                return Answer::LongValue {
-                    received: received[start..].to_vec(),
-                    length,
-                };
+            if let Some(answer) = long_value(received, MAX_VALUE_BYTES) {
+                return answer;
             }
             if is_other_array(received) {
                 return failed(Outcome::Error);
@@ -182,8 +135,13 @@
                     let is_last = size == end;
                     return Answer::Complete(self.decode_reply(buffer, reply, is_last));
                 }
-                Ok(None) if end < BUFFER_BYTES => {}
-                _ => return failed(Outcome::Error),
+                Ok(None) => {}
+                Err(_) => return failed(Outcome::Error),
+            }
+            if buffer.should_grow(end) && !grow_within(memory, &mut buffer, end) {
+                if let Some(answer) = long_value(&buffer[..end], 0) {
+                    return answer;
+                }
             }
         }
     }
@@ -323,6 +281,25 @@
     }
 }
 
+/// Returns the answer that begins with a value longer than `max_held` bytes, if `received` does.
+fn long_value(received: &[u8], max_held: usize) -> Option<Answer> {
+    let (start, length) = resp::long_value(received, max_held)?;
+    Some(Answer::LongValue {
+        received: received[start..].to_vec(),
+        length,
+    })
+}
+
+/// Replaces a small buffer by one of full size. Returns false if `memory` has no room for it.
+fn grow_within(memory: Option<&Arc<MemoryBudget>>, buffer: &mut Buffer, end: usize) -> bool {
+    let charge = memory.and_then(|memory| memory.try_charge(MemoryHolder::Reply, BUFFER_BYTES));
+    let has_room = charge.is_some();
+    if has_room {
+        buffer.grow(end, charge);
+    }
+    has_room
+}
+
 /// Whether the bytes begin an array other than one of value, usage and load report. Such a reply is
 /// rejected at once, as its end may never be received.
 fn is_other_array(received: &[u8]) -> bool {
--- a/src/process/assembly.rs
+++ b/src/process/assembly.rs
@@ -7,7 +7,7 @@
 use super::upgrade::{UpgradeChannel, UpgradeControl};
 use super::Limiter;
 use crate::admin::line::{self, AdminContext};
-use crate::client::{ClientListener, ClientListenerOptions, ClientProtocol, MemoryBudget};
+use crate::client::{ClientListener, ClientListenerOptions, ClientProtocol};
 use crate::clock::Clock;
 use crate::config::CommonConfig;
 use crate::config::QuotaLeaseConfig;
@@ -16,6 +16,7 @@
 use crate::decision::{QuotaShares, RequestClass, UpdateScope};
 use crate::handover::{LimiterProcess, UpgradeCoordinator};
 use crate::membership::fleet::{Fleet, FleetSettings};
+use crate::memory::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::quota_lease::link::AllocatorLinks;
 use crate::threads::spawn;
@@ -48,6 +49,7 @@
         let assembly = Assembly::<P> {
             queue: CoreQueue::new(input_sender, command_sender),
             metrics: Metrics::new(take(&mut common.class_names)),
+            memory: MemoryBudget::new(common.memory.charged),
             limits: ConnectionLimits::new(common.max_descriptors),
             log,
         };
@@ -111,6 +113,8 @@
 struct Assembly<'a, P: ClientProtocol> {
     queue: CoreQueue<P::Upstream>,
     metrics: Arc<Metrics>,
+    /// Budget of the memory that the process holds for its peers.
+    memory: Arc<MemoryBudget>,
     limits: ConnectionLimits,
     log: &'a Logger,
 }
@@ -139,6 +143,7 @@
             max_connections: self.limits.upstream(false),
             protocol,
             events: self.queue.upstream_events(),
+            memory: self.memory.clone(),
             metrics: self.metrics.clone(),
             log: self.component_log("upstream"),
         })
@@ -150,13 +155,13 @@
         protocol: P,
         channel: &mut UpgradeChannel,
     ) -> Arc<ClientListener<P>> {
-        let memory_budget = MemoryBudget::new(common.max_request_bytes, common.max_open_requests);
         ClientListener::new(ClientListenerOptions {
             protocol,
             max_connections: self.limits.clients(false),
             read_interrupt: channel.read_interrupt.take(),
-            memory_limit: common.memory_limit,
-            memory_budget,
+            memory: self.memory.clone(),
+            memory_limits: common.memory,
+            max_open_requests: common.max_open_requests,
             retry_after_when_full: retry_after_when_full(&common.settings),
             events: self.queue.client_events::<P>(),
             metrics: self.metrics.clone(),
--- a/src/protocol/http/mod.rs
+++ b/src/protocol/http/mod.rs
@@ -83,4 +83,7 @@
     /// A head is larger than a buffer, or a body larger than the caller allows.
     #[error("the message is too large")]
     TooLarge,
+    /// There is no memory for the message.
+    #[error("no memory for the message")]
+    NoMemory,
 }
--- a/src/protocol/resp.rs
+++ b/src/protocol/resp.rs
@@ -6,7 +6,7 @@
 
 /// Maximum length of a value that is held in a buffer, in bytes. Values in clients' commands may
 /// not be longer.
-const MAX_VALUE_BYTES: usize = 64 * 1024;
+pub const MAX_VALUE_BYTES: usize = 64 * 1024;
 /// Maximum length of a value from an upstream server, in bytes. A value longer than
 /// [`MAX_VALUE_BYTES`] is streamed.
 const MAX_STREAMED_VALUE_BYTES: usize = 4 << 20;
@@ -15,7 +15,7 @@
 /// Maximum length of a line that holds a length, in bytes.
 const MAX_LENGTH_LINE_BYTES: usize = 32;
 /// Maximum number of words in a command and of values in an array. The longest in use has five.
-const MAX_ELEMENTS: usize = 16;
+pub(super) const MAX_ELEMENTS: usize = 16;
 /// Maximum nesting depth of arrays.
 const MAX_DEPTH: usize = 3;
 
@@ -95,7 +95,7 @@
 
 /// Parses the length that begins at `at`, after a type byte. A length of -1, which means null, is
 /// returned as `None`.
-fn length(bytes: &[u8], at: usize, max: usize) -> Parsed<Option<usize>> {
+pub(super) fn length(bytes: &[u8], at: usize, max: usize) -> Parsed<Option<usize>> {
     let Some((text, next)) = line(bytes, at)? else {
         return if bytes.len() - at > MAX_LENGTH_LINE_BYTES {
             Err(RespError::LengthTooLong)
@@ -161,12 +161,32 @@
     Ok(Some((words, at)))
 }
 
-/// If `bytes` begin an upstream server's reply whose value is too long for a buffer, returns the
-/// index at which the value begins and its length in bytes.
-pub fn long_value(bytes: &[u8]) -> Option<(usize, usize)> {
+/// Returns the complete words at the start of a command that may be incomplete or invalid.
+pub fn words_received(bytes: &[u8]) -> Vec<&[u8]> {
+    let mut words = Vec::new();
+    let first_line = match bytes.first() {
+        Some(b'*') => length(bytes, 1, MAX_ELEMENTS),
+        _ => return words,
+    };
+    let Ok(Some((_, mut at))) = first_line else {
+        return words;
+    };
+    while bytes.get(at) == Some(&b'$') {
+        let Ok(Some((Some(word), next))) = bulk(bytes, at + 1) else {
+            break;
+        };
+        words.push(&bytes[word]);
+        at = next;
+    }
+    words
+}
+
+/// If `bytes` begin an upstream server's reply with a value longer than `max_held` bytes, returns
+/// the index at which the value begins and its length in bytes.
+pub fn long_value(bytes: &[u8], max_held: usize) -> Option<(usize, usize)> {
     let head = bytes.strip_prefix(b"*3\r\n$")?;
     let (size, next) = length(head, 0, MAX_STREAMED_VALUE_BYTES).ok().flatten()?;
-    size.filter(|size| *size > MAX_VALUE_BYTES)
+    size.filter(|size| *size > max_held)
         .map(|size| (bytes.len() - head.len() + next, size))
 }
 
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -11,6 +11,7 @@
 use crate::core::{AttemptDeadlines, AttemptId};
 use crate::decision::{Outcome, ServerId};
 use crate::log_throttle::LogThrottle;
+use crate::memory::{MemoryBudget, MemoryHolder, THREAD_BYTES};
 use crate::metrics::Metrics;
 use crate::threads::{lock, spawn};
 use slog::{warn, Logger};
@@ -30,6 +31,8 @@
     pub protocol: S,
     /// Receives the results of attempts and health checks.
     pub events: UpstreamEventSink<S::Value>,
+    /// Budget of the memory that the process holds.
+    pub memory: Arc<MemoryBudget>,
     /// Counts attempts.
     pub metrics: Arc<Metrics>,
     /// Log for faults of this process.
@@ -57,10 +60,13 @@
     pub(super) connections: ConnectionCount,
     pub(super) protocol: S,
     pub(super) events: UpstreamEventSink<S::Value>,
+    pub(super) memory: Arc<MemoryBudget>,
     pub(super) metrics: Arc<Metrics>,
     log: Logger,
     /// Limits the rate of log lines about the connection limit.
     connection_limit_throttle: LogThrottle,
+    /// Limits the rate of log lines about the memory budget.
+    memory_throttle: LogThrottle,
 }
 
 impl<S: UpstreamProtocol> Shared<S> {
@@ -68,6 +74,14 @@
         self.connections.get() >= self.max_connections.load(Ordering::Relaxed)
     }
 
+    /// Logs at a limited rate that there is no memory for an attempt.
+    fn log_no_memory(&self) {
+        if let Some(suppressed) = self.memory_throttle.permit() {
+            warn!(self.log, "no memory for an attempt";
+                "charged_kib" => self.memory.charged() / 1024, "suppressed" => suppressed);
+        }
+    }
+
     /// Logs at a limited rate that no connection can be opened.
     fn log_limit_reached(&self) {
         let Some(suppressed) = self.connection_limit_throttle.permit() else {
@@ -85,6 +99,8 @@
     UnknownServer,
     #[error("limit of upstream connections reached")]
     TooManyConnections,
+    #[error("no memory for an upstream job")]
+    NoMemory,
     #[error("no thread for an upstream job could be started: {0}")]
     NoThread(#[source] io::Error),
 }
@@ -95,7 +111,7 @@
         match self {
             Self::UnknownServer => Outcome::ConnectFailed,
             // Must not count against the server: the attempt never reached it.
-            Self::TooManyConnections | Self::NoThread(_) => Outcome::Superseded,
+            Self::TooManyConnections | Self::NoMemory | Self::NoThread(_) => Outcome::Superseded,
         }
     }
 }
@@ -112,9 +128,11 @@
                 connections: ConnectionCount::default(),
                 protocol: options.protocol,
                 events: options.events,
+                memory: options.memory,
                 metrics: options.metrics,
                 log: options.log,
                 connection_limit_throttle: LogThrottle::default(),
+                memory_throttle: LogThrottle::default(),
             }),
         }
     }
@@ -218,6 +236,13 @@
     /// Reserves a connection for a job and runs the job on a thread.
     fn dispatch(&self, server: &ServerId, job: Job<S::Call>) -> Result<(), DispatchError> {
         let shared = &self.shared;
+        let Some(charge) = shared
+            .memory
+            .try_charge(MemoryHolder::Attempt, THREAD_BYTES)
+        else {
+            shared.log_no_memory();
+            return Err(DispatchError::NoMemory);
+        };
         let mut table = lock(&shared.table);
         let address = table.address(server).ok_or(DispatchError::UnknownServer)?;
         let acquired = match table.take_idle(server) {
@@ -232,7 +257,11 @@
         };
         drop(table);
         let worker = Worker::new(server.clone(), address, shared.clone());
-        spawn("attempt", move || worker.run(acquired, job)).map_err(|error| {
+        let work = move || {
+            let _charge = charge;
+            worker.run(acquired, job);
+        };
+        spawn("attempt", work).map_err(|error| {
             warn!(shared.log, "no thread for an attempt"; "error" => %error);
             DispatchError::NoThread(error)
         })
--- a/src/upstream/protocol.rs
+++ b/src/upstream/protocol.rs
@@ -2,6 +2,7 @@
 
 use super::connection::Connection;
 use crate::decision::Outcome;
+use crate::memory::MemoryBudget;
 use std::io;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -19,13 +20,14 @@
     /// # Errors
     /// If the request was not written completely.
     fn write(&self, call: &Self::Call, to: &TcpStream, time_left: Duration) -> io::Result<()>;
-    /// Reads the response to a request that was written. A value that is longer than a buffer is
-    /// passed to `on_value_start` when its first bytes are received; it is complete or cut off when
-    /// this method returns.
+    /// Reads the response to a request that was written. A value that is longer than a buffer, or
+    /// for which `memory` has no room, is passed to `on_value_start` when its first bytes are
+    /// received; it is complete or cut off when this method returns.
     fn read(
         &self,
         call: &Self::Call,
         from: &Arc<Connection>,
+        memory: &Arc<MemoryBudget>,
         on_value_start: &dyn Fn(Self::Value),
     ) -> Exchange<Self::Value>;
     /// Checks the health of the server and reads its load report.
--- a/src/upstream/worker.rs
+++ b/src/upstream/worker.rs
@@ -151,7 +151,12 @@
                 value,
             });
         };
-        protocol.read(&attempt.call, connection, &report_start)
+        protocol.read(
+            &attempt.call,
+            connection,
+            &self.shared.memory,
+            &report_start,
+        )
     }
 
     /// Checks the health of the server. Reads and writes have a time-out, because the core, which
--- a/tests/golden/wire_texts.rs
+++ b/tests/golden/wire_texts.rs
@@ -230,6 +230,7 @@
     HttpResponse {
         head,
         body: HttpBody::Complete(body.to_vec()),
+        charge: None,
     }
 }
 
--- /dev/null
+++ b/tests/memory/main.rs
@@ -0,0 +1,10 @@
+//! Memory of a limiter with the least memory that operators give it, beside clients that hold
+//! memory: on both fronts, with few and with many file descriptors.
+
+#[path = "../peers/mod.rs"]
+mod peers;
+
+mod bad_clients;
+mod measure;
+mod openapi;
+mod platform;
--- /dev/null
+++ b/tests/memory/measure.rs
@@ -0,0 +1,86 @@
+//! Measures the memory of a limiter while usual clients use it beside bad ones.
+
+use crate::bad_clients::BadClients;
+use crate::peers::Program;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Memory limit of the limiters, in MiB.
+pub const MEMORY_MIB: u64 = 32;
+/// Numbers of file descriptors, and of bad clients beside them.
+pub const MACHINES: [(u64, usize); 2] = [(256, 120), (1_024, 400)];
+/// How long the bad clients are there.
+const TROUBLE_TIME: Duration = Duration::from_secs(4);
+/// Interval between two requests of the usual client.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(10);
+/// Time within which a usual client gets its answer: its deadline, and the time for which a busy
+/// machine may hold a reply up.
+const ANSWER_TIME: Duration = Duration::from_millis(2_000);
+
+/// See [`only_play`].
+static MACHINE: Mutex<()> = Mutex::new(());
+
+/// Waits until no other test plays bad clients: the hundreds of threads of one would delay the other.
+pub fn only_play() -> MutexGuard<'static, ()> {
+    MACHINE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A usual client, which sends one request after another.
+pub trait UsualClient {
+    /// Sends a request and reads its reply; `None` if the connection was closed without one.
+    fn try_request(&mut self, number: usize) -> Option<String>;
+    /// Connects again.
+    fn reconnect(&mut self);
+    /// Whether a reply to the request with this number is a value or a rejection.
+    fn is_final(&self, number: usize, reply: &str) -> bool;
+}
+
+/// Sends a request. The limiter may have closed the connection after the request before, so that it
+/// is sent once more on a new one.
+fn request(usual: &mut dyn UsualClient, number: usize) -> Result<(), String> {
+    let reply = usual.try_request(number).or_else(|| {
+        usual.reconnect();
+        usual.try_request(number)
+    });
+    match reply {
+        Some(reply) if usual.is_final(number, &reply) => Ok(()),
+        reply => Err(format!("request {number}: {reply:?}")),
+    }
+}
+
+/// Runs a usual client beside the bad ones that `start_clients` starts, until the trouble is over.
+/// Asserts that each of its requests was served or rejected in time, and that the limiter stayed
+/// within its memory limit.
+pub fn assert_bounded(
+    program: &Program,
+    usual: &mut dyn UsualClient,
+    start_clients: impl FnOnce() -> BadClients,
+) {
+    let clients = start_clients();
+    let began = Instant::now();
+    let (mut anonymous_kb, mut resident_kb) = (0, 0);
+    let (mut faults, mut slowest) = (Vec::new(), Duration::ZERO);
+    for number in 0.. {
+        if began.elapsed() >= TROUBLE_TIME {
+            break;
+        }
+        let sent_at = Instant::now();
+        faults.extend(request(usual, number).err());
+        slowest = slowest.max(sent_at.elapsed());
+        anonymous_kb = anonymous_kb.max(program.anonymous_memory_kb());
+        resident_kb = resident_kb.max(program.cpu_ticks_and_memory_kb().1);
+        std::thread::sleep(REQUEST_INTERVAL);
+    }
+    clients.stop();
+    let limit_kb = MEMORY_MIB * 1024;
+    println!("peak {anonymous_kb} kB anonymous, {resident_kb} kB resident, slowest {slowest:?}");
+    assert!(
+        resident_kb <= limit_kb,
+        "{resident_kb} kB resident ({anonymous_kb} kB anonymous) of {limit_kb} kB"
+    );
+    assert!(faults.is_empty(), "neither served nor rejected: {faults:?}");
+    assert!(
+        slowest <= ANSWER_TIME,
+        "the slowest answer took {slowest:?}"
+    );
+}
