--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -7,4 +7,5 @@
 mod bad_clients;
 mod measure;
 mod openapi;
+mod pipelined_requests;
 mod platform;
--- a/tests/platform/memory.rs
+++ b/tests/memory/pipelined_requests.rs
@@ -1,5 +1,6 @@
 //! Memory of a limiter whose clients send more than it can hold.
 
+use crate::measure::only_play;
 use crate::peers::{
     quota_counter, request_command, served_reply, settings, silent_discovery, start_limiter,
     start_resp_peer, Client, Program,
@@ -76,6 +77,7 @@
 /// the readers of client connections and the core, each with a buffer for the longest command.
 #[test]
 fn clients_that_send_many_long_commands_at_once_stay_within_the_memory_limit() {
+    let _only_play = only_play();
     let (server, _seen) = start_resp_peer(|_, words| served_reply(&words[2]));
     let mut config = settings(silent_discovery(), quota_counter().0, &[("s-1", server)]);
     config["limits"]["sockets"] = 512.into();
