Do not forward an id again whose request may have run

What callers saw: a client closed with answers unread and came again with the same ids; requests that may not be repeated ran a second time, likewise at the other process of an upgrade.

Cause: ids were known only while their requests were open. The close of a client ends them, though an attempt that was written can't be taken back.

Change: the core notes an id before the first attempt of a request whose class may not be repeated is written, until the window of the class ends, and answers it with '-ERR failed' meanwhile. Ids are forgotten where no attempt has run. They are part of the state for a successor, and told one by one from then on to one that says that it understands it. They may hold 1/32 of memory_mb.

--- a/src/config/common.rs
+++ b/src/config/common.rs
@@ -36,6 +36,8 @@
     pub max_descriptors: usize,
     /// Maximum number of requests that may be open at once.
     pub max_open_requests: usize,
+    /// Maximum number of ids that are kept so that their requests do not run again.
+    pub max_recent_ids: usize,
     /// How the memory limit of the process is divided.
     pub memory: MemoryLimits,
     /// Timeouts of connections to upstream servers.
--- a/src/config/memory.rs
+++ b/src/config/memory.rs
@@ -15,6 +15,10 @@
 const ALLOCATOR_PARTS: f64 = 8.0;
 /// The state of accounts may hold one part in this many of the limit.
 const ACCOUNT_PARTS: f64 = 8.0;
+/// The ids of requests that must not run again may hold one part in this many of the limit.
+const RECENT_ID_PARTS: f64 = 32.0;
+/// Memory that such an id holds, in bytes, with its places in the core.
+const RECENT_ID_BYTES: f64 = 256.0;
 /// The requests without a written reply may hold one part in this many of the limit.
 const REQUEST_PARTS: f64 = 4.0;
 /// The least that can be charged, in MiB. A limiter with a lower limit still serves.
@@ -25,7 +29,8 @@
 /// Returns how a memory limit in MiB is divided.
 pub(super) fn memory_limits(memory_mib: f64) -> MemoryLimits {
     let counted = counted_mib(memory_mib);
-    let kept = counted / POOL_PARTS + counted / ALLOCATOR_PARTS + counted / ACCOUNT_PARTS;
+    let parts = [POOL_PARTS, ALLOCATOR_PARTS, ACCOUNT_PARTS, RECENT_ID_PARTS];
+    let kept: f64 = parts.iter().map(|part| counted / part).sum();
     let charged = (counted - BASE_MIB - kept).max(MIN_CHARGED_MIB);
     MemoryLimits {
         process: (counted * MIB) as usize,
@@ -39,6 +44,11 @@
     (counted_mib(memory_mib) * MIB / ACCOUNT_PARTS / ACCOUNT_BYTES) as usize
 }
 
+/// Returns the maximum number of ids of requests that must not run again.
+pub(super) fn max_recent_ids(memory_mib: f64) -> usize {
+    (counted_mib(memory_mib) * MIB / RECENT_ID_PARTS / RECENT_ID_BYTES) as usize
+}
+
 fn counted_mib(memory_mib: f64) -> f64 {
     memory_mib.clamp(1.0, MAX_MEMORY_MIB)
 }
--- a/src/config/openapi.rs
+++ b/src/config/openapi.rs
@@ -6,7 +6,7 @@
 };
 use super::decision::check_settings;
 use super::membership::{read_membership, Member};
-use super::memory::{memory_limits, MAX_MEMORY_MIB};
+use super::memory::{max_recent_ids, memory_limits, MAX_MEMORY_MIB};
 use super::reader::{parse, Section};
 use super::store::{read_store, StoreConfig, StoreSection};
 use super::{CommonConfig, ConfigError, ConnectionSettings, EndpointUpdate, QuotaLeaseConfig};
@@ -163,6 +163,7 @@
     endpoints: Vec<(Endpoint, SocketAddr)>,
 ) -> Result<CommonConfig, ConfigError> {
     let limits = root.section("limits");
+    let memory_mib = limits.number_or("memory_mb", MAX_MEMORY_MIB)?;
     let seed = root.integer_or("seed", u64::from(std::process::id()))?;
     let connections = ConnectionSettings {
         idle_timeout: Duration::from_millis(limits.integer_or("idle_ms", 30_000)?),
@@ -179,7 +180,8 @@
         seed,
         max_descriptors: bounded_descriptors(limits.integer_or("sockets", MAX_DESCRIPTORS)?),
         max_open_requests: bounded_open_requests(limits.integer_or("max_open", MAX_OPEN_REQUESTS)?),
-        memory: memory_limits(limits.number_or("memory_mb", MAX_MEMORY_MIB)?),
+        max_recent_ids: max_recent_ids(memory_mib),
+        memory: memory_limits(memory_mib),
         connections,
         settings,
         initial_endpoints: EndpointUpdate {
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -6,7 +6,7 @@
 use super::decision::check_settings;
 use super::endpoints::read_endpoint_update;
 use super::membership::{read_membership, Member};
-use super::memory::{max_accounts, memory_limits, MAX_MEMORY_MIB};
+use super::memory::{max_accounts, max_recent_ids, memory_limits, MAX_MEMORY_MIB};
 use super::reader::{parse, positive, Section};
 use super::{CommonConfig, ConfigError, ConnectionSettings, EndpointUpdate};
 use crate::decision::{Micros, Settings};
@@ -101,6 +101,7 @@
             seed,
             max_descriptors: bounded_descriptors(sockets),
             max_open_requests: bounded_open_requests(max_open),
+            max_recent_ids: max_recent_ids(memory_mib),
             memory: memory_limits(memory_mib),
             connections,
             settings,
--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -5,7 +5,7 @@
 use super::open_requests::{request_id, request_number, ResponseStream};
 use super::Core;
 use crate::decision::{AccountId, AttemptResult, Event, Micros, Outcome, RequestId, ServerId};
-use crate::handover::message::HandoverMessage;
+use crate::handover::message::{HandoverMessage, RecentId};
 use slog::warn;
 use std::collections::{HashMap, HashSet};
 
@@ -106,6 +106,7 @@
         let Some(client) = request.client.take() else {
             return;
         };
+        request.may_have_run = true;
         request.stream = Some(ResponseStream {
             attempt,
             started: now,
@@ -145,6 +146,9 @@
         response: AttemptResponse<T::Value>,
     ) {
         let number = attempt.request;
+        if let Some(request) = self.requests.get_mut(number) {
+            request.may_have_run |= !response.outcome.never_ran();
+        }
         // The latency of a streamed response is measured up to its first bytes, as the rest is
         // received only as fast as the client reads. Whether the response is complete or broken
         // off, all that was received has been forwarded, so the request is closed without another
@@ -160,11 +164,7 @@
                 self.answer(request.client, Answer::Served(value));
             }
         }
-        let request = self.requests.get_mut(number);
-        let is_final = request.is_none();
-        if let Some(request) = request {
-            request.may_have_run |= !response.outcome.never_ran();
-        }
+        let is_final = !self.requests.contains(number);
         let responded_at = stream.map_or(now, |stream| stream.started);
         let id = request_id(number);
         let result = running.result(responded_at, id, attempt.attempt, response.outcome);
@@ -176,6 +176,23 @@
         self.notify_engine(now, Event::AttemptEnded(result));
     }
 
+    /// Notes the id of a request that is about to be sent for the first time, before anything is
+    /// written: the other process of an upgrade has to know it in time.
+    fn note_first_attempt(&mut self, now: Micros, number: u64) {
+        let Some(request) = self.requests.get(number).filter(|open| open.attempts == 0) else {
+            return;
+        };
+        let (Some(id), Some(window)) = (request.client_id.clone(), request.repeat_window) else {
+            return;
+        };
+        let ends_at = now + window;
+        if self.upgrade.state_is_handed_over() {
+            let message = HandoverMessage::MayRun(RecentId::new(&id, ends_at));
+            self.transport.notify_peer_process(message);
+        }
+        self.recent_ids.add(now, id, ends_at);
+    }
+
     /// Starts an attempt of an open request. A `timeout` of 0 allows the attempt to last until the
     /// deadline of the request. Nothing of the attempt is written from `write_before` on.
     pub(super) fn start_attempt(
@@ -187,6 +204,7 @@
         write_before: Micros,
     ) {
         let number = request_number(&id);
+        self.note_first_attempt(now, number);
         let Some(request) = self.requests.get_mut(number) else {
             warn!(self.log, "attempt for a closed request"; "request" => &*id.0);
             return;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,6 +15,7 @@
 mod leases;
 mod messages;
 mod open_requests;
+mod recent_ids;
 mod requests;
 mod timers;
 mod upgrade;
@@ -23,7 +24,7 @@
 pub use commands::{AdminCommand, Command, HandOverCommand};
 pub use messages::{Answer, AttemptDeadlines, AttemptId, IncomingRequest, Input, Transport};
 
-use crate::decision::{Action, Event, Idempotency, Micros, Settings};
+use crate::decision::{Action, Event, Idempotency, KeyScope, Micros, RequestClass, Settings};
 use crate::handover::message::FinalReport;
 use crate::log_throttle::LogThrottle;
 use crate::quota_lease::holder::Holder;
@@ -35,6 +36,7 @@
 use deadlines::Deadline;
 use leases::Leases;
 use open_requests::OpenRequests;
+use recent_ids::RecentIds;
 use slog::Logger;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -61,6 +63,8 @@
     pub seed: u64,
     /// Maximum number of open requests; further requests are rejected.
     pub max_open: usize,
+    /// Maximum number of ids that are kept so that their requests do not run again.
+    pub max_recent_ids: usize,
     /// Carries out the requests of the core to clients, upstream servers and the counter.
     pub transport: T,
     /// Clock that provides the time of events.
@@ -82,6 +86,7 @@
     clock: Clock,
     timers: Timers<Deadline>,
     requests: OpenRequests<T>,
+    recent_ids: RecentIds,
     attempts: RunningAttempts,
     counter_calls: CounterCalls,
     /// Quota leases; `None` if units are not leased.
@@ -98,6 +103,7 @@
     log: Logger,
     full_throttle: LogThrottle,
     duplicate_id_throttle: LogThrottle,
+    repeated_id_throttle: LogThrottle,
 }
 
 /// Stage of the core's shutdown.
@@ -117,6 +123,9 @@
     /// By class index, whether requests are idempotent: a retry after a rejection is then harmless
     /// even if the request may have run.
     idempotent_classes: Vec<bool>,
+    /// By class index, for how long an id must not be forwarded again once its request may have
+    /// run, in microseconds; `None` where that is harmless.
+    repeat_windows: Vec<Option<Micros>>,
     max_attempts: usize,
     /// Retry-After of requests that are rejected because too many requests are open; zero if
     /// clients get none.
@@ -131,6 +140,7 @@
                 .iter()
                 .map(|class| class.idempotency == Idempotency::Idempotent)
                 .collect(),
+            repeat_windows: settings.classes.iter().map(repeat_window).collect(),
             max_attempts: settings.limits.max_attempts.max(1) as usize,
             retry_after_when_full: retry_after_when_full(settings),
         }
@@ -140,6 +150,22 @@
     fn is_idempotent(&self, class: usize) -> bool {
         self.idempotent_classes.get(class).copied().unwrap_or(false)
     }
+
+    /// Returns for how long the id of a request of a class must not be forwarded again.
+    fn repeat_window(&self, class: usize) -> Option<Micros> {
+        self.repeat_windows.get(class).copied().flatten()
+    }
+}
+
+/// Returns for how long a request of a class must not be forwarded again once it may have run. Where
+/// all servers discard repeats by their key, it may be.
+fn repeat_window(class: &RequestClass) -> Option<Micros> {
+    match class.idempotency {
+        Idempotency::Idempotent | Idempotency::Keyed(KeyScope::AllServers) => None,
+        Idempotency::Keyed(KeyScope::Zone | KeyScope::Cell) | Idempotency::NonIdempotent => {
+            Some(class.idempotency_window.max(class.deadline))
+        }
+    }
 }
 
 impl<T: Transport> Core<T> {
@@ -157,6 +183,7 @@
             clock: options.clock,
             timers: Timers::new(),
             requests: OpenRequests::new(options.max_open),
+            recent_ids: RecentIds::new(options.max_recent_ids),
             attempts: RunningAttempts::default(),
             counter_calls: CounterCalls::new(counter_timeout),
             leases,
@@ -170,6 +197,7 @@
             log: options.log,
             full_throttle: LogThrottle::default(),
             duplicate_id_throttle: LogThrottle::default(),
+            repeated_id_throttle: LogThrottle::default(),
         }
     }
 
--- a/src/core/open_requests.rs
+++ b/src/core/open_requests.rs
@@ -31,6 +31,8 @@
     /// Whether an attempt may have run.
     pub(super) may_have_run: bool,
     pub(super) is_idempotent: bool,
+    /// For how long its id must not be forwarded again once it may have run.
+    pub(super) repeat_window: Option<Micros>,
 }
 
 /// A response that is forwarded as it is received.
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -19,6 +19,9 @@
         if self.phase == Phase::Stopped {
             return self.reject_unforwarded(incoming.client);
         }
+        if self.may_have_run_before(now, &incoming) {
+            return self.fail_repeated(incoming.client);
+        }
         // Upstream servers would mistake the request for the open request of another client.
         if !self.requests.reserve_client_id(incoming.id.as_ref()) {
             return self.fail_duplicate(incoming.client);
@@ -38,6 +41,7 @@
             attempt_timed_out: false,
             may_have_run: false,
             is_idempotent: self.rules.is_idempotent(incoming.class),
+            repeat_window: self.rules.repeat_window(incoming.class),
         };
         self.requests.insert(incoming.number, open);
         self.timers
@@ -69,6 +73,27 @@
             .answer(client, Answer::Failed { timed_out: false });
     }
 
+    /// Whether an earlier request with the same id may have run and must not run again.
+    fn may_have_run_before(
+        &self,
+        now: Micros,
+        incoming: &IncomingRequest<T::Client, T::Call>,
+    ) -> bool {
+        let id = incoming.id.as_ref();
+        self.rules.repeat_window(incoming.class).is_some()
+            && id.is_some_and(|id| self.recent_ids.contains(now, id))
+    }
+
+    /// Fails a request with the id of one that may have run. A rejection would tell the client that
+    /// it did not.
+    fn fail_repeated(&mut self, client: T::Client) {
+        if let Some(suppressed) = self.repeated_id_throttle.permit() {
+            info!(self.log, "id of a request that may have run"; "suppressed" => suppressed);
+        }
+        self.transport
+            .answer(client, Answer::Failed { timed_out: false });
+    }
+
     /// Closes the requests of a client that has disconnected.
     pub(super) fn abandon_requests(&mut self, now: Micros, numbers: Vec<u64>) {
         for number in self.unforwarded_first(numbers) {
@@ -105,15 +130,24 @@
         if let Some(leases) = &mut self.leases {
             leases.close(now, &request.id, request.attempts > 0);
         }
+        let mut may_run = request.may_have_run;
         for attempt in 0..request.attempts {
             let attempt = AttemptId {
                 request: number,
                 attempt,
             };
-            if self.attempts.contains(attempt) && self.transport.withdraw(attempt) {
+            if !self.attempts.contains(attempt) {
+                continue;
+            }
+            if self.transport.withdraw(attempt) {
                 self.remove_attempt(attempt);
+            } else {
+                may_run = true;
             }
         }
+        if let Some(id) = request.client_id.as_ref().filter(|_| !may_run) {
+            self.recent_ids.remove(id);
+        }
         Some(request)
     }
 
--- a/src/core/upgrade.rs
+++ b/src/core/upgrade.rs
@@ -3,8 +3,8 @@
 use super::commands::HandOverCommand;
 use super::messages::Transport;
 use super::Core;
-use crate::decision::{AccountId, Micros, UpdateScope};
-use crate::handover::message::{HandoverMessage, LearnedState};
+use crate::decision::{AccountId, Micros, RequestId, UpdateScope};
+use crate::handover::message::{HandoverMessage, LearnedState, RecentId};
 use std::collections::HashMap;
 use std::mem::take;
 
@@ -32,7 +32,7 @@
     pub(super) fn handle_hand_over_command(&mut self, now: Micros, command: HandOverCommand) {
         match command {
             HandOverCommand::ExportState(reply) => {
-                let state = self.state_for_successor();
+                let state = self.state_for_successor(now);
                 self.upgrade.handed_over = Some(state.clone());
                 _ = reply.try_send(state);
             }
@@ -52,10 +52,15 @@
         }
     }
 
-    fn state_for_successor(&mut self) -> LearnedState {
+    fn state_for_successor(&mut self, now: Micros) -> LearnedState {
         let bans = self.bans.all();
+        let recent_ids = self.recent_ids.all(now);
+        let recent_ids = recent_ids
+            .map(|(id, ends_at)| RecentId::new(id, ends_at))
+            .collect();
         LearnedState {
             bans,
+            recent_ids,
             ..self.engine.export_learned_state()
         }
     }
@@ -66,9 +71,18 @@
             endpoints.extend(self.bans.adopt(ban));
         }
         self.notify_endpoints(now, UpdateScope::Delta, endpoints);
+        for recent in &state.recent_ids {
+            self.adopt_recent_id(now, recent);
+        }
         self.upgrade.predecessor_attempts = self.engine.adopt_state(now, state);
     }
 
+    /// Notes the id of a request that the predecessor has sent or is about to send.
+    fn adopt_recent_id(&mut self, now: Micros, recent: &RecentId) {
+        let id = RequestId::from(&*recent.id);
+        self.recent_ids.add(now, id, recent.ends_at);
+    }
+
     fn end_predecessor_attempts(&mut self) {
         for (account, running) in take(&mut self.upgrade.predecessor_attempts) {
             for _ in 0..running {
@@ -80,6 +94,7 @@
     fn handle_peer_message(&mut self, now: Micros, message: HandoverMessage) {
         match message {
             HandoverMessage::Ban(ban) => self.adopt_ban(now, &ban),
+            HandoverMessage::MayRun(recent) => self.adopt_recent_id(now, &recent),
             HandoverMessage::Ended(account) => {
                 let account = AccountId::from(&*account);
                 let running = self.upgrade.predecessor_attempts.get_mut(&account);
--- a/src/handover/learned_state.rs
+++ b/src/handover/learned_state.rs
@@ -24,6 +24,7 @@
             accounts: self.export_accounts(),
             servers: self.export_servers(),
             bans: Vec::new(),
+            recent_ids: Vec::new(),
             mean_latencies: self.latencies.iter().map(|class| class.mean).collect(),
             failure_rates: self
                 .latencies
--- a/src/handover/link.rs
+++ b/src/handover/link.rs
@@ -13,6 +13,7 @@
 use std::mem::MaybeUninit;
 use std::os::fd::{BorrowedFd, OwnedFd};
 use std::os::unix::net::UnixStream;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Mutex;
 use std::time::Duration;
 use thiserror::Error;
@@ -61,6 +62,8 @@
     /// Held while a frame is written, so that frames of different threads are not interleaved.
     send_lock: Mutex<()>,
     received: Mutex<ReceiveBuffer>,
+    /// The optional features that the peer understands, as bits.
+    peer_features: AtomicU32,
 }
 
 /// Received bytes and file descriptors that have not been decoded into a message yet.
@@ -68,6 +71,8 @@
 struct ReceiveBuffer {
     bytes: Vec<u8>,
     descriptors: VecDeque<OwnedFd>,
+    /// The features that the peer has announced.
+    features: u32,
 }
 
 impl ReceiveBuffer {
@@ -87,10 +92,9 @@
         }
         let frame = Frame::decode(&self.bytes[LENGTH_PREFIX_BYTES..end]);
         self.bytes.drain(..end);
-        let message = frame
-            .ok()
-            .and_then(|frame| frame.body)
-            .ok_or(ReceiveError::UnreadableFrame)?;
+        let frame = frame.map_err(|_| ReceiveError::UnreadableFrame)?;
+        self.features |= frame.features;
+        let message = frame.body.ok_or(ReceiveError::UnreadableFrame)?;
         if !message.carries_descriptor() {
             return Ok(Some((message, None)));
         }
@@ -121,16 +125,22 @@
             stream,
             send_lock: Mutex::default(),
             received: Mutex::default(),
+            peer_features: AtomicU32::new(0),
         })
     }
 
-    /// Sends a message, with a file descriptor if it carries one.
+    /// Sends a message, with a file descriptor if it carries one. A message that the peer would not
+    /// understand is left out.
     ///
     /// # Errors
     ///
     /// Returns an error if the message is longer than [`MAX_FRAME_BYTES`], the peer does not read,
     /// or the connection is closed.
     pub fn send(&self, message: HandoverMessage, descriptor: Option<BorrowedFd>) -> io::Result<()> {
+        let features = self.peer_features.load(Ordering::Relaxed);
+        if message.required_features() & !features != 0 {
+            return Ok(());
+        }
         let bytes = encode(message)?;
         let _guard = lock(&self.send_lock);
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
@@ -173,6 +183,8 @@
         }
         loop {
             if let Some(message) = received.take_message()? {
+                self.peer_features
+                    .store(received.features, Ordering::Relaxed);
                 return Ok(message);
             }
             self.read_more(&mut received)?;
@@ -210,9 +222,7 @@
 
 /// Encodes a message as a frame with its length prefix.
 fn encode(message: HandoverMessage) -> io::Result<Vec<u8>> {
-    let frame = Frame {
-        body: Some(message),
-    };
+    let frame = Frame::of(message);
     let length = frame.encoded_len();
     if length > MAX_FRAME_BYTES {
         return Err(io::Error::new(
--- a/src/handover/message.rs
+++ b/src/handover/message.rs
@@ -1,5 +1,6 @@
 //! The messages of a hand-over, encoded as Protocol Buffers in frames of bounded size.
 
+use crate::decision::{Micros, RequestId};
 use prost::{Message, Oneof};
 
 /// Maximum length of a frame, in bytes. It fits the state of about ten thousand accounts.
@@ -9,8 +10,29 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// The message; none if this version does not know its type.
-    #[prost(oneof = "HandoverMessage", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "HandoverMessage", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub body: Option<HandoverMessage>,
+    /// The optional features that the sender understands, as bits. Only sent with
+    /// [`HandoverMessage::Join`].
+    #[prost(uint32, tag = "15")]
+    pub features: u32,
+}
+
+/// Feature bit of a process that understands [`HandoverMessage::MayRun`].
+pub const RECENT_IDS_FEATURE: u32 = 1;
+
+impl Frame {
+    /// Returns the frame that carries a message of this version.
+    pub fn of(message: HandoverMessage) -> Self {
+        let features = match message {
+            HandoverMessage::Join(_) => RECENT_IDS_FEATURE,
+            _ => 0,
+        };
+        Self {
+            body: Some(message),
+            features,
+        }
+    }
 }
 
 /// A message of a hand-over. In messages without content the `bool` is always true.
@@ -48,6 +70,10 @@
     /// account.
     #[prost(string, tag = "10")]
     Ended(String),
+    /// A request with this id is about to be sent by the predecessor, and may run from now on. Only
+    /// sent to a process that has [`RECENT_IDS_FEATURE`].
+    #[prost(message, tag = "11")]
+    MayRun(RecentId),
 }
 
 impl HandoverMessage {
@@ -55,6 +81,14 @@
     pub(super) fn carries_descriptor(&self) -> bool {
         matches!(self, Self::Accept(_) | Self::Connection(_))
     }
+
+    /// Returns the features that the receiver needs in order to understand the message.
+    pub(super) fn required_features(&self) -> u32 {
+        match self {
+            Self::MayRun(_) => RECENT_IDS_FEATURE,
+            _ => 0,
+        }
+    }
 }
 
 /// The state that a limiter has learned at run time, which its successor would otherwise have to
@@ -97,6 +131,30 @@
     /// Mean priority weight of a request.
     #[prost(double, tag = "12")]
     pub mean_priority_weight: f64,
+    /// Ids of requests that may have run and must not run again.
+    #[prost(message, repeated, tag = "13")]
+    pub recent_ids: Vec<RecentId>,
+}
+
+/// The id of a request that may have run.
+#[derive(Clone, PartialEq, Message)]
+pub struct RecentId {
+    /// Id that the client gave to the request.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Time until which it must not run again, in microseconds of Unix time.
+    #[prost(uint64, tag = "2")]
+    pub ends_at: u64,
+}
+
+impl RecentId {
+    /// Returns the message for this id.
+    pub fn new(id: &RequestId, ends_at: Micros) -> Self {
+        Self {
+            id: id.0.to_string(),
+            ends_at,
+        }
+    }
 }
 
 /// The state of an account. Times are in microseconds of Unix time.
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -46,7 +46,7 @@
             process.process_message(message);
             Some(Signal::Finished)
         }
-        HandoverMessage::Ban(_) | HandoverMessage::Ended(_) => {
+        HandoverMessage::Ban(_) | HandoverMessage::Ended(_) | HandoverMessage::MayRun(_) => {
             process.process_message(message);
             None
         }
--- a/src/process/assembly.rs
+++ b/src/process/assembly.rs
@@ -304,6 +304,7 @@
             settings: common.settings,
             seed: common.seed,
             max_open: common.max_open_requests,
+            max_recent_ids: common.max_recent_ids,
             transport,
             clock,
             endpoints_known,
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -123,6 +123,7 @@
             settings,
             seed: 7,
             max_open,
+            max_recent_ids: 100,
             transport,
             clock: Clock::start(),
             endpoints_known: bounded(1).0,
--- a/tests/golden/messages.rs
+++ b/tests/golden/messages.rs
@@ -5,7 +5,7 @@
 
 use crate::golden::{assert_matches, hex, recorded};
 use mossrill::handover::message::{
-    AccountState, Ban, ClassFailures, FinalReport, Frame, HandoverMessage, LearnedState,
+    AccountState, Ban, ClassFailures, FinalReport, Frame, HandoverMessage, LearnedState, RecentId,
     ServerState, UnreportedUnits,
 };
 use mossrill::membership::datagram::{Datagram, GossipUpdate, MessageKind};
@@ -67,6 +67,14 @@
         counter_call_price: 0.1875,
         max_counter_calls: 8.5,
         mean_priority_weight: 2.625,
+        recent_ids: vec![recent_id()],
+    }
+}
+
+fn recent_id() -> RecentId {
+    RecentId {
+        id: "id-1".into(),
+        ends_at: 1_000_009,
     }
 }
 
@@ -102,6 +110,7 @@
             }),
         ),
         ("ended", HandoverMessage::Ended("0000000000000a1f".into())),
+        ("may-run", HandoverMessage::MayRun(recent_id())),
     ]
 }
 
@@ -270,8 +279,7 @@
 
 #[test]
 fn hand_over_frames_are_encoded_and_decoded_as_recorded() {
-    let frame =
-        |(name, body): (&str, HandoverMessage)| (name.to_owned(), Frame { body: Some(body) });
+    let frame = |(name, body): (&str, HandoverMessage)| (name.to_owned(), Frame::of(body));
     let frames: Vec<_> = hand_over_bodies().into_iter().map(frame).collect();
     assert_encoding_matches("hand-over.txt", &frames);
 }
--- a/tests/platform/pipelining.rs
+++ b/tests/platform/pipelining.rs
@@ -26,11 +26,12 @@
 /// Time within which clients that send too much have to get an error.
 const ERROR_TIME: Duration = Duration::from_secs(3);
 
-/// Sends this many requests in one write, and returns the reply to each.
-fn send_at_once(limiter: &RunningLimiter, count: usize) -> Vec<String> {
+/// Sends this many requests in one write, with ids that begin with `prefix`, and returns the reply to
+/// each.
+fn send_at_once(limiter: &RunningLimiter, prefix: &str, count: usize) -> Vec<String> {
     let mut client = Client::connect_when_ready(limiter);
     let commands = (0..count).map(|number| {
-        let id = format!("id-{number}");
+        let id = format!("{prefix}-{number}");
         request_command("pay", &id, DEADLINE_MS)
     });
     client.send(&commands.collect::<String>());
@@ -48,7 +49,7 @@
     let limiter = started_limiter(&[("s-1", server), ("s-2", server)]);
     for count in [65, 80, 199] {
         let sent_at = Instant::now();
-        let replies = send_at_once(&limiter, count);
+        let replies = send_at_once(&limiter, &format!("of-{count}"), count);
         for (number, reply) in replies.iter().enumerate() {
             assert!(
                 reply.starts_with("-BUSY") || reply.starts_with("-ERR timed out"),
@@ -92,7 +93,7 @@
     config["settings"]["tariffs"][0]["peakUnits"] = 2e5.into();
     let limiter = start_limiter(&config);
     let sent_at = Instant::now();
-    let replies = send_at_once(&limiter, 1_500);
+    let replies = send_at_once(&limiter, "id", 1_500);
     let deadline = sent_at + Duration::from_millis(DEADLINE_MS);
     let replied_at = replied_at.lock().expect("the lock is not poisoned");
     for (number, reply) in replies.iter().enumerate() {
--- a/tests/quota_lease_core.rs
+++ b/tests/quota_lease_core.rs
@@ -143,6 +143,7 @@
                 settings,
                 seed: 7,
                 max_open: 100,
+                max_recent_ids: 100,
                 transport: RecordingTransport(call_sender),
                 clock,
                 endpoints_known: bounded(1).0,
--- a/tests/races/main.rs
+++ b/tests/races/main.rs
@@ -12,6 +12,7 @@
 mod close_latency;
 mod counter;
 mod discovery;
+mod repeated_ids;
 mod shutdown;
 mod support;
 mod upstream;
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -414,6 +414,89 @@
     assert_eq!(client.read_reply(), "gets-a-slot");
 }
 
+/// Asserts that the new process does not forward the id `left`, which the old one has forwarded, and
+/// serves other requests.
+fn assert_left_runs_once(successor: &Program, seen: &Seen) {
+    let mut client = Client::connect_when_ready_at(successor.client_address);
+    client.send_request("pay", "left", 1_900);
+    assert_eq!(client.read_reply(), "-ERR failed");
+    client.send_request("pay", "other", 1_900);
+    assert_eq!(client.read_reply(), "other");
+    let repeated = seen.try_iter().filter_map(|(_, words)| words);
+    let repeated = repeated.filter(|words| words.get(2).is_some_and(|id| id == "left"));
+    assert_eq!(repeated.count(), 0);
+}
+
+/// Guards against a request that runs twice: its client leaves the old process and sends the same
+/// id to the new one.
+#[test]
+fn id_that_ran_before_an_upgrade_is_not_forwarded_by_the_new_process() {
+    let (server, seen) = start_resp_peer(|_, words| match &*words[2] {
+        "left" => PeerAction::Hang,
+        id => served_reply(id),
+    });
+    let folder = Folder::new("id-before");
+    let mut config = settings(silent_discovery(), quota_counter().0, &[("s-1", server)]);
+    config["control"] = "127.0.0.1:0".into();
+    let predecessor = start(&folder.0, "id-before-old", &config);
+    predecessor.call_until("ready", "YES");
+    config["listen"] = predecessor.client_address.to_string().into();
+    let mut client = Client::connect_when_ready_at(predecessor.client_address);
+    client.send_request("pay", "left", 1_900);
+    next_command(&seen);
+    let successor = start(&folder.0, "id-before-new", &config);
+    successor.call_until("ready", "YES");
+    drop(client);
+    assert_left_runs_once(&successor, &seen);
+}
+
+/// Guards against the same where the old process forwards the request only after it has given its
+/// state to the new one.
+#[test]
+fn id_that_ran_during_an_upgrade_is_not_forwarded_by_the_new_process() {
+    let is_released = Arc::new(AtomicBool::new(false));
+    let server_released = is_released.clone();
+    let (server, seen) = start_resp_peer(move |_, words| match &*words[2] {
+        "left" => PeerAction::Hang,
+        "held" => {
+            while !server_released.load(Ordering::SeqCst) {
+                thread::yield_now();
+            }
+            served_reply("held")
+        }
+        id => served_reply(id),
+    });
+    let folder = Folder::new("id-during");
+    let mut config = settings(silent_discovery(), quota_counter().0, &[("s-1", server)]);
+    config["control"] = "127.0.0.1:0".into();
+    config["settings"]["tariffs"][0]["parallel"] = 1.into();
+    for class in config["settings"]["classes"]
+        .as_array_mut()
+        .expect("classes are an array")
+    {
+        class["deadline"] = 10_000_000.into();
+    }
+    let predecessor = start(&folder.0, "id-during-old", &config);
+    predecessor.call_until("ready", "YES");
+    config["listen"] = predecessor.client_address.to_string().into();
+    let mut held = Client::connect_when_ready_at(predecessor.client_address);
+    held.send_request("pay", "held", 9_000);
+    next_command(&seen);
+    let mut client = Client::connect_when_ready_at(predecessor.client_address);
+    client.send_request("pay", "left", 9_000);
+    wait_until(
+        || predecessor.call("show-stat"),
+        |figures| figures.contains("limiter.in_flight=2"),
+    );
+    let successor = start(&folder.0, "id-during-new", &config);
+    successor.call_until("ready", "YES");
+    is_released.store(true, Ordering::SeqCst);
+    assert_eq!(held.read_reply(), "held");
+    next_command(&seen);
+    drop(client);
+    assert_left_runs_once(&successor, &seen);
+}
+
 #[test]
 fn limiter_serves_without_a_folder_a_socket_or_an_answering_predecessor() {
     let (server, _seen) = start_resp_peer(|_, words| served_reply(&words[2]));
