Repeat reads and writes that fail for a moment, and play a fault soak

What callers saw (no report; the new soak found it): beside system calls that fail now and then, connections were closed on after their requests had been forwarded, or stayed open and were never answered again.

Cause: a read that failed with ENOMEM or ENOBUFS ended the reader, which then read on and ignored everything; a write that failed so ended the connection with its reply; so did a writer for which no thread could be started.

Change: such calls are repeated for up to 0.5 s on connections to clients and servers, thread starts for 3 ms, and the watchdog starts writers that could not be started. tests/interposer/ is the library that makes calls fail, in C, built by the tests. lab/src/soak/ plays limiters between failing peers, with signals in series, bad clients and that library; its checker shares no code with the limiter and is tested by records with each break planted.

--- a/lab/src/error.rs
+++ b/lab/src/error.rs
@@ -90,6 +90,12 @@
         /// Number of the limiter.
         limiter: u32,
     },
+    /// A thread of a run has panicked.
+    #[error("a thread of the run has panicked")]
+    Panicked,
+    /// Rules were broken in so many runs of a soak.
+    #[error("rules were broken in {0} runs")]
+    RulesBroken(usize),
     /// The id of a process does not name a process that can be signalled.
     #[error("no process with this id")]
     NoProcess,
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod run;
 pub mod scenario;
 pub mod server_list;
+pub mod soak;
 pub mod stand_in;
 pub mod summary;
 pub mod upstream;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,9 +8,13 @@
 use mossrill_lab::predictions::Predictions;
 use mossrill_lab::report::{comparison_table, table, RunReport};
 use mossrill_lab::scenario::Scenario;
+use mossrill_lab::soak::{self, SoakOptions, SoakReport};
 use mossrill_lab::{counter, discovery, hollow, run, scenario, stand_in, upstream};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::time::Duration;
 
 /// Runs scale tests of mossrill.
 #[derive(Parser)]
@@ -47,6 +51,27 @@
         /// The scenario files.
         scenarios: Vec<PathBuf>,
     },
+    /// Plays limiter processes between peers that fail, and checks what clients and servers see.
+    Soak {
+        /// Seed of the first run; each further run has the next one.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Number of runs.
+        #[arg(long, default_value_t = 1)]
+        runs: u64,
+        /// Number of runs that are played at the same time.
+        #[arg(long, default_value_t = 2)]
+        jobs: usize,
+        /// Time in which faults begin, in seconds.
+        #[arg(long, default_value_t = 5)]
+        seconds: u64,
+        /// The limiter program.
+        #[arg(long, default_value = "target/release/mossrill")]
+        limiter: PathBuf,
+        /// Library that disturbs system calls and the wall clock of some processes.
+        #[arg(long)]
+        interposer: Option<PathBuf>,
+    },
     /// Runs as a child process of a run.
     #[command(hide = true)]
     Child,
@@ -96,6 +121,22 @@
             );
             Ok(())
         }),
+        Command::Soak {
+            seed,
+            runs,
+            jobs,
+            seconds,
+            limiter,
+            interposer,
+        } => {
+            let options = SoakOptions {
+                limiter,
+                seed,
+                time: Duration::from_secs(seconds),
+                interposer,
+            };
+            soak(&options, runs, jobs)
+        }
         Command::Child => child(),
     }
 }
@@ -104,6 +145,67 @@
     Ok(scenario::load_with(path, overrides)?)
 }
 
+/// Maximum number of breaks that are printed for a run of a soak.
+const MAX_PRINTED_BREAKS: usize = 10;
+
+/// Plays the runs of a soak, some at the same time, and prints the first break of each.
+fn soak(options: &SoakOptions, runs: u64, jobs: usize) -> Result<(), LabError> {
+    let next = AtomicU64::new(0);
+    let results = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..jobs.max(1) {
+            scope.spawn(|| loop {
+                let run = next.fetch_add(1, Ordering::Relaxed);
+                if run >= runs {
+                    return;
+                }
+                let seed = options.seed + run;
+                let result = soak::play(&SoakOptions {
+                    seed,
+                    ..options.clone()
+                });
+                if let Ok(report) = &result {
+                    print_soak(report);
+                }
+                if let Ok(mut results) = results.lock() {
+                    results.push(result.map(|report| report.breaks.len()));
+                }
+            });
+        }
+    });
+    let results = results.into_inner().map_err(|_| LabError::Panicked)?;
+    let mut broken = 0;
+    for result in results {
+        broken += usize::from(result? > 0);
+    }
+    match broken {
+        0 => Ok(()),
+        runs => Err(LabError::RulesBroken(runs)),
+    }
+}
+
+fn print_soak(report: &SoakReport) {
+    let mut text = format!(
+        "seed {}: {} requests, {} served, {} rejected, {} failed, peak {} KiB, {} breaks\n",
+        report.seed,
+        report.requests,
+        report.served,
+        report.rejected,
+        report.failed,
+        report.peak_kib,
+        report.breaks.len()
+    );
+    for broken in report.breaks.iter().take(MAX_PRINTED_BREAKS) {
+        text += &format!("  {broken}\n");
+    }
+    if let Some(broken) = report.breaks.first() {
+        for line in report.trace(broken) {
+            text += &format!("    {line}\n");
+        }
+    }
+    print!("{text}");
+}
+
 struct Run {
     scenario: Scenario,
     seeds: Vec<u64>,
--- a/src/client/interruptible.rs
+++ b/src/client/interruptible.rs
@@ -1,6 +1,7 @@
 //! Blocking reads from a client that another thread can interrupt without losing a byte.
 
 use super::socket_state::is_readable;
+use crate::retrying_stream::RetryingStream;
 use crate::threads::lock;
 use rustix::event::{poll, PollFd, PollFlags};
 use std::io::{self, ErrorKind, Read, Write};
@@ -116,6 +117,6 @@
                 return Err(ErrorKind::WouldBlock.into());
             }
         }
-        self.stream.read(to)
+        RetryingStream(self.stream).read(to)
     }
 }
--- a/src/client/reader.rs
+++ b/src/client/reader.rs
@@ -7,6 +7,7 @@
 use super::watchdog::COMMAND_TIMEOUT;
 use super::ClientListener;
 use crate::client::interruptible::InterruptibleReader;
+use crate::retrying_stream::RetryingStream;
 use crate::threads::lock;
 use std::io::{self, Read};
 use std::net::{Shutdown, TcpStream};
@@ -150,7 +151,8 @@
 
 /// Reads and ignores bytes until the end of the stream or the bound. Closing a connection with
 /// unread bytes would reset it and lose the last reply.
-fn drain(mut stream: &TcpStream) {
+fn drain(stream: &TcpStream) {
+    let mut stream = RetryingStream(stream);
     let mut bytes = [0; DRAIN_BUFFER_BYTES];
     let mut drained = 0;
     while drained <= MAX_DRAINED_BYTES {
--- a/src/client/session.rs
+++ b/src/client/session.rs
@@ -10,6 +10,7 @@
 use crate::core::Answer;
 use crate::memory::MemoryBudget;
 use crate::metrics::InFlightRequest;
+use crate::retrying_stream::RetryingStream;
 use crate::threads::lock;
 use slog::{info, warn};
 use std::io::Write;
@@ -223,7 +224,9 @@
         match reply {
             Reply::Direct { text, last } if !state.writer_running && state.replies.is_empty() => {
                 drop(state);
-                (&self.connection.stream).write_all(&text).is_ok()
+                RetryingStream(&self.connection.stream)
+                    .write_all(&text)
+                    .is_ok()
                     && self.connection.end_command(None, closing)
                     && !last
             }
--- a/src/client/watchdog.rs
+++ b/src/client/watchdog.rs
@@ -1,6 +1,6 @@
 //! The thread that checks all connections: it closes those that send an incomplete command or no
 //! command within a timeout, evicts idle ones above a limit, and abandons requests that precede a
-//! malformed command.
+//! malformed command. It also starts writers that could not be started before.
 
 use super::connection::{ClientConnection, MIN_IDLE_TIME};
 use super::protocol::ClientProtocol;
@@ -36,7 +36,7 @@
 
 impl<P: ClientProtocol> ClientListener<P> {
     /// Checks all connections every [`WATCHDOG_INTERVAL`] until the process ends.
-    pub(super) fn run_watchdog(&self) {
+    pub(super) fn run_watchdog(self: &Arc<Self>) {
         let mut connections = lock(&self.connections);
         loop {
             let waited = self
@@ -48,8 +48,9 @@
             self.log_memory_near_limit();
             connections = lock(&self.connections);
             let now = Instant::now();
-            for connection in connections.values() {
+            for (number, connection) in connections.iter() {
                 self.report_abandoned(connection.check_timeouts(now));
+                self.start_writer(*number, connection, lock(&connection.state));
             }
             self.evict_idle(&connections);
         }
--- a/src/client/writer.rs
+++ b/src/client/writer.rs
@@ -8,6 +8,7 @@
 use crate::core::Answer;
 use crate::memory::{MemoryHolder, THREAD_BYTES};
 use crate::metrics::{InFlightRequest, RequestOutcome};
+use crate::retrying_stream::RetryingStream;
 use crate::threads::{lock, spawn};
 use slog::warn;
 use std::io::{self, Write};
@@ -40,7 +41,7 @@
     ///
     /// There is no permanent writer thread for each connection or request, because a system that
     /// suspends and resumes a process, for example to enforce a CPU quota, has to do so with each
-    /// of its threads.
+    /// of its threads. If the system starts no thread, the watchdog tries again.
     pub(super) fn start_writer(
         self: &Arc<Self>,
         number: u64,
@@ -58,8 +59,8 @@
         let writer_connection = connection.clone();
         let work = move || front.run_writer(number, &writer_connection);
         if let Err(error) = spawn("client-write", work) {
-            warn!(self.log, "client connection dropped"; "error" => %error);
-            self.close_connection(number, connection);
+            warn!(self.log, "no thread for a reply"; "error" => %error);
+            lock(&connection.state).writer_running = false;
         }
     }
 
@@ -106,7 +107,7 @@
                 Ok(keep)
             }
             Reply::Direct { text, last } => {
-                (&connection.stream).write_all(&text)?;
+                RetryingStream(&connection.stream).write_all(&text)?;
                 Ok(!last)
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod process;
 pub mod protocol;
 pub mod quota_lease;
+pub mod retrying_stream;
 pub mod simulator;
 pub mod threads;
 pub mod upstream;
--- a/src/openapi/client_protocol.rs
+++ b/src/openapi/client_protocol.rs
@@ -13,6 +13,7 @@
 };
 use crate::protocol::buffers::SMALL_BUFFER_BYTES;
 use crate::protocol::http::{header, Body, ReadError, Reader, RequestHead};
+use crate::retrying_stream::RetryingStream;
 use std::collections::HashMap;
 use std::io::{self, Write};
 use std::net::TcpStream;
@@ -113,7 +114,7 @@
 
     fn write(
         &self,
-        mut client: &TcpStream,
+        client: &TcpStream,
         context: ReplyContext,
         answer: Answer<HttpResponse>,
     ) -> io::Result<bool> {
@@ -128,7 +129,7 @@
             } => Problem::rejected(retry_after, timed_out),
             Answer::Failed { timed_out } => Problem::failed(timed_out),
         };
-        client.write_all(&problem.encode(&context))?;
+        RetryingStream(client).write_all(&problem.encode(&context))?;
         Ok(context.keep_alive)
     }
 }
--- a/src/openapi/reply.rs
+++ b/src/openapi/reply.rs
@@ -5,6 +5,7 @@
 use super::upstream_protocol::{HttpBody, HttpResponse};
 use crate::protocol::buffers::SMALL_BUFFER_BYTES;
 use crate::protocol::http::{header, Head};
+use crate::retrying_stream::RetryingStream;
 use std::io::{self, Write};
 use std::net::TcpStream;
 use std::time::{Duration, SystemTime};
@@ -151,10 +152,11 @@
 /// Returns an error if the client's connection failed, or the upstream server did not send all of a
 /// streamed body.
 pub(super) fn write_response(
-    mut client: &TcpStream,
+    client: &TcpStream,
     context: &ReplyContext,
     response: HttpResponse,
 ) -> io::Result<()> {
+    let mut stream = RetryingStream(client);
     // The charge ends once the response was written.
     let HttpResponse {
         head,
@@ -165,14 +167,14 @@
     match body {
         HttpBody::Complete(body) if body.len() <= SMALL_BUFFER_BYTES => {
             text.extend_from_slice(&body);
-            client.write_all(&text)
+            stream.write_all(&text)
         }
         HttpBody::Complete(body) => {
-            client.write_all(&text)?;
-            client.write_all(&body)
+            stream.write_all(&text)?;
+            stream.write_all(&body)
         }
         HttpBody::Streamed(body) => {
-            client.write_all(&text)?;
+            stream.write_all(&text)?;
             body.forward(client)
         }
     }
--- a/src/openapi/streamed_body.rs
+++ b/src/openapi/streamed_body.rs
@@ -2,6 +2,7 @@
 //! them from the upstream server.
 
 use crate::protocol::http::Reader;
+use crate::retrying_stream::RetryingStream;
 use crate::upstream::ConnectionReader;
 use crossbeam_channel::{bounded, Receiver, Sender};
 use std::io::{self, ErrorKind, Write};
@@ -55,7 +56,8 @@
     ///
     /// Returns an error if the client's connection failed or the upstream server did not send the
     /// whole body. The client has then received fewer bytes than were announced.
-    pub fn forward(mut self, mut client: &TcpStream) -> io::Result<()> {
+    pub fn forward(mut self, client: &TcpStream) -> io::Result<()> {
+        let mut client = RetryingStream(client);
         let mut remaining = self.length;
         while remaining > 0 {
             match self.reader.body_fragment(remaining) {
--- a/src/openapi/upstream_protocol.rs
+++ b/src/openapi/upstream_protocol.rs
@@ -9,6 +9,7 @@
 use crate::platform::upstream_protocol::STALL_TIMEOUT;
 use crate::protocol::buffers::SMALL_BUFFER_BYTES;
 use crate::protocol::http::{Body, Head, Headers, ReadError, Reader};
+use crate::retrying_stream::RetryingStream;
 use crate::upstream::{Connection, ConnectionReader, Exchange, UpstreamProtocol};
 use std::io::{self, ErrorKind, Write};
 use std::net::TcpStream;
@@ -76,12 +77,8 @@
     type Call = HttpRequest;
     type Value = HttpResponse;
 
-    fn write(
-        &self,
-        request: &HttpRequest,
-        mut to: &TcpStream,
-        time_left: Duration,
-    ) -> io::Result<()> {
+    fn write(&self, request: &HttpRequest, to: &TcpStream, time_left: Duration) -> io::Result<()> {
+        let mut to = RetryingStream(to);
         let mut text = format!("{} {} HTTP/1.1\r\n", request.method, request.target).into_bytes();
         write_forwarded_headers(&mut text, &request.headers, &[TIME_LEFT_HEADER])?;
         write!(
--- a/src/platform/call.rs
+++ b/src/platform/call.rs
@@ -1,6 +1,7 @@
 //! A request of a client in the form in which it is forwarded.
 
 use crate::protocol::buffers::{Buffer, SMALL_BUFFER_BYTES};
+use crate::retrying_stream::RetryingStream;
 use std::io::{self, Write};
 use std::net::TcpStream;
 use std::ops::Range;
@@ -30,7 +31,8 @@
     /// # Errors
     ///
     /// If the command was not written completely.
-    pub(super) fn write(&self, mut to: &TcpStream, time_left: Duration) -> io::Result<()> {
+    pub(super) fn write(&self, to: &TcpStream, time_left: Duration) -> io::Result<()> {
+        let mut to = RetryingStream(to);
         let max_bytes = self.max_encoded_bytes();
         if max_bytes > SMALL_BUFFER_BYTES {
             return self.write_words(to, time_left);
@@ -86,7 +88,7 @@
 
     /// Writes a command that is too long for a small buffer to the stream, word by word from where
     /// it is.
-    fn write_words(&self, mut to: &TcpStream, time_left: Duration) -> io::Result<()> {
+    fn write_words(&self, mut to: RetryingStream, time_left: Duration) -> io::Result<()> {
         let mut head = Vec::with_capacity(self.max_encoded_bytes_of(&self.words[..BODY_INDEX]));
         write!(head, "*{}\r\n", self.words.len())?;
         for index in 0..self.words.len().min(BODY_INDEX) {
--- a/src/platform/client_protocol.rs
+++ b/src/platform/client_protocol.rs
@@ -7,6 +7,7 @@
 use crate::decision::Idempotency;
 use crate::platform::command_reader::CommandReader;
 use crate::platform::upstream_protocol::{PlatformUpstreamProtocol, Served};
+use crate::retrying_stream::RetryingStream;
 use crate::simulator::Names;
 use std::io::{self, Write};
 use std::net::TcpStream;
@@ -55,9 +56,10 @@
         }
     }
 
-    fn write(&self, mut to: &TcpStream, (): (), answer: Answer<Served>) -> io::Result<bool> {
+    fn write(&self, client: &TcpStream, (): (), answer: Answer<Served>) -> io::Result<bool> {
+        let mut to = RetryingStream(client);
         match answer {
-            Answer::Served(Served::Streamed(value)) => value.copy_to_client(to)?,
+            Answer::Served(Served::Streamed(value)) => value.copy_to_client(client)?,
             Answer::Served(Served::Whole { buffer, value }) => {
                 // The upstream server's reply contains the length line, the value and its line end
                 // consecutively, so they are copied as one slice. The codec rejects lengths with
--- a/src/platform/streamed_value.rs
+++ b/src/platform/streamed_value.rs
@@ -1,6 +1,7 @@
 //! Streaming of values that are too long for a buffer: they are copied to the client while they are
 //! received.
 
+use crate::retrying_stream::RetryingStream;
 use crate::upstream::Connection;
 use crossbeam_channel::Sender;
 use std::io::{self, ErrorKind, Read, Write};
@@ -68,7 +69,8 @@
     }
 
     /// Copies the value. Returns the bytes that were received after it.
-    fn copy(&self, mut to: &TcpStream) -> Result<Vec<u8>, StreamError> {
+    fn copy(&self, to: &TcpStream) -> Result<Vec<u8>, StreamError> {
+        let mut to = RetryingStream(to);
         let mut remaining = self.length;
         let mut received = self.received.clone();
         write!(to, "${remaining}\r\n").map_err(StreamError::Client)?;
@@ -93,7 +95,7 @@
     fn receive(&self, received: &mut Vec<u8>) -> Result<(), StreamError> {
         let mut chunk = [0; RECEIVE_BYTES];
         loop {
-            match (&self.connection.stream).read(&mut chunk) {
+            match RetryingStream(&self.connection.stream).read(&mut chunk) {
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Ok(0) | Err(_) => return Err(StreamError::Upstream),
                 Ok(read) => {
--- a/src/platform/upstream_protocol.rs
+++ b/src/platform/upstream_protocol.rs
@@ -8,6 +8,7 @@
 use crate::platform::streamed_value::{StreamEnd, StreamedValue};
 use crate::protocol::buffers::{Buffer, BUFFER_BYTES};
 use crate::protocol::resp::{self, Reply, MAX_VALUE_BYTES};
+use crate::retrying_stream::RetryingStream;
 use crate::upstream::{Connection, Exchange, UpstreamProtocol};
 use crossbeam_channel::bounded;
 use std::io::{self, ErrorKind, Read, Write};
@@ -77,8 +78,8 @@
         exchange
     }
 
-    fn check_health(&self, mut stream: &TcpStream) -> Exchange<Served> {
-        if stream
+    fn check_health(&self, stream: &TcpStream) -> Exchange<Served> {
+        if RetryingStream(stream)
             .write_all(b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n")
             .is_err()
         {
@@ -112,7 +113,7 @@
         let mut buffer = Buffer::empty();
         let mut end = 0;
         loop {
-            match buffer.read(end, stream) {
+            match buffer.read(end, RetryingStream(stream)) {
                 Ok(0) => return failed(Outcome::Reset),
                 Ok(read) => end += read,
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
@@ -190,11 +191,7 @@
 
     /// Reads the usage and the load report that follow a value. Returns the load report, or `None`
     /// if the connection can't be used again.
-    fn read_trailing_report(
-        &self,
-        mut stream: &TcpStream,
-        mut received: Vec<u8>,
-    ) -> Option<Vec<f64>> {
+    fn read_trailing_report(&self, stream: &TcpStream, mut received: Vec<u8>) -> Option<Vec<f64>> {
         let began = Instant::now();
         // The timeout applies to all reads together and not only to each of them, as an upstream
         // server may go on sending single bytes indefinitely.
@@ -207,7 +204,7 @@
                 return (end == received.len()).then_some(load);
             }
             let mut chunk = [0; TRAILING_RECEIVE_BYTES];
-            let read = stream.read(&mut chunk).ok()?;
+            let read = RetryingStream(stream).read(&mut chunk).ok()?;
             if read == 0 || received.len() >= MAX_TRAILING_BYTES {
                 return None;
             }
--- a/src/threads.rs
+++ b/src/threads.rs
@@ -18,6 +18,11 @@
 /// Normally the condition variable wakes it earlier.
 const ASSIGNED_TASK_WAIT: Duration = Duration::from_secs(60);
 
+/// Maximum number of further tries to start a thread. The core waits for them too.
+const MAX_START_RETRIES: u32 = 3;
+/// Pause before a further try to start a thread.
+const START_RETRY_PAUSE: Duration = Duration::from_millis(1);
+
 type Task = Box<dyn FnOnce() + Send>;
 
 static IDLE_THREADS: Mutex<Vec<Arc<IdleThread>>> = Mutex::new(Vec::new());
@@ -106,11 +111,33 @@
         idle_thread.assign(task);
         return Ok(());
     }
-    thread::Builder::new()
-        .name(name.into())
-        .stack_size(STACK_BYTES)
-        .spawn(move || run_thread(task))?;
-    Ok(())
+    start_thread(name, task)
+}
+
+/// Starts a thread for a task. The system may refuse one for a moment, so that it is asked again.
+fn start_thread(name: &str, task: Task) -> io::Result<()> {
+    let task = Arc::new(Mutex::new(Some(task)));
+    let mut retries = 0;
+    loop {
+        let first_task = task.clone();
+        let run = move || {
+            let first_task = lock(&first_task).take();
+            if let Some(first_task) = first_task {
+                run_thread(first_task);
+            }
+        };
+        let started = thread::Builder::new()
+            .name(name.into())
+            .stack_size(STACK_BYTES)
+            .spawn(run);
+        match started {
+            Err(_) if retries < MAX_START_RETRIES => {
+                retries += 1;
+                thread::sleep(START_RETRY_PAUSE);
+            }
+            started => return started.map(drop),
+        }
+    }
 }
 
 fn run_thread(first_task: Task) {
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -1,5 +1,6 @@
 //! Connections to upstream servers, and the count of open ones.
 
+use crate::retrying_stream::RetryingStream;
 use socket2::SockRef;
 use std::io::{self, ErrorKind, Read};
 use std::mem::MaybeUninit;
@@ -32,7 +33,7 @@
 
 impl Read for ConnectionReader {
     fn read(&mut self, to: &mut [u8]) -> io::Result<usize> {
-        (&self.0.stream).read(to)
+        RetryingStream(&self.0.stream).read(to)
     }
 }
 
--- a/tests/units/layers.rs
+++ b/tests/units/layers.rs
@@ -14,6 +14,7 @@
         "memory",
         "log_throttle",
         "protocol",
+        "retrying_stream",
     ],
     &["membership", "quota_lease", "handover"],
     &["simulator", "openapi::description"],
