Keep times of upgrades and servers across steps of the wall clock

What callers would see: after the wall clock stepped by an hour, an id ran twice across an upgrade and buckets were refilled at once; a server that had just started seemed warm after a step back.

Cause: each process reads the wall clock once, so that times passed between two processes, or by service discovery, are only right as long as it does not step between their readings.

Change: the hand-over has the time of the predecessor's clock, and the successor moves all times by the difference. Start times of servers are converted by the offsets that were seen, to the latest time that has passed.

The recorded state of a hand-over has the new field.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -17,15 +17,21 @@
 impl Clock {
     /// Starts a clock at the current time of the system clock.
     pub fn start() -> Self {
-        let unix = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
         Self {
             origin: Instant::now(),
-            unix_origin: unix.as_micros() as Micros,
+            unix_origin: Self::wall_clock(),
         }
     }
 
+    /// Returns the Unix time of the system clock, in microseconds. It may step, so that nothing is
+    /// measured by it.
+    pub fn wall_clock() -> Micros {
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        unix.as_micros() as Micros
+    }
+
     /// Returns the current Unix time, in microseconds.
     pub fn now(&self) -> Micros {
         self.unix_time_of(Instant::now())
--- a/src/core/endpoints.rs
+++ b/src/core/endpoints.rs
@@ -1,7 +1,7 @@
 //! Updates of the endpoint list, and upstream servers that operators have disabled.
 
 use super::messages::Transport;
-use super::Core;
+use super::{Clock, Core};
 use crate::decision::{Endpoint, Event, Micros, Readiness, ServerId, UpdateScope};
 use crate::handover::message::{Ban, HandoverMessage};
 
@@ -11,8 +11,10 @@
         &mut self,
         now: Micros,
         scope: UpdateScope,
-        endpoints: Vec<Endpoint>,
+        mut endpoints: Vec<Endpoint>,
     ) {
+        self.start_times.observe(now, Clock::wall_clock());
+        self.start_times.convert(now, scope, &mut endpoints);
         let has_ready = endpoints
             .iter()
             .any(|endpoint| endpoint.readiness == Readiness::Ready);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -17,6 +17,7 @@
 mod open_requests;
 mod recent_ids;
 mod requests;
+pub mod start_times;
 mod timers;
 mod upgrade;
 
@@ -38,6 +39,7 @@
 use open_requests::OpenRequests;
 use recent_ids::RecentIds;
 use slog::Logger;
+use start_times::StartTimes;
 use std::collections::VecDeque;
 use std::time::Duration;
 use timers::Timers;
@@ -92,6 +94,7 @@
     /// Quota leases; `None` if units are not leased.
     leases: Option<Leases>,
     bans: ServerBans,
+    start_times: StartTimes,
     upgrade: UpgradeState,
     phase: Phase,
     rules: RequestRules,
@@ -188,6 +191,7 @@
             counter_calls: CounterCalls::new(counter_timeout),
             leases,
             bans: ServerBans::default(),
+            start_times: StartTimes::default(),
             upgrade: UpgradeState::default(),
             phase: Phase::Serving,
             rules,
--- a/src/core/upgrade.rs
+++ b/src/core/upgrade.rs
@@ -13,6 +13,8 @@
 pub(super) struct UpgradeState {
     /// The learned state that was given to the successor; `None` if there is no successor.
     handed_over: Option<LearnedState>,
+    /// By how much this process's clock is ahead of the predecessor's, in microseconds.
+    clock_shift: i64,
     /// Number of attempts of a predecessor that are still running, by account.
     predecessor_attempts: HashMap<AccountId, u32>,
     /// Whether a successor serves, so that this process only finishes its open requests and counter
@@ -61,11 +63,16 @@
         LearnedState {
             bans,
             recent_ids,
+            exported_at: now,
             ..self.engine.export_learned_state()
         }
     }
 
-    fn adopt_state(&mut self, now: Micros, state: LearnedState) {
+    fn adopt_state(&mut self, now: Micros, mut state: LearnedState) {
+        if state.exported_at > 0 {
+            self.upgrade.clock_shift = now as i64 - state.exported_at as i64;
+            state.move_times(self.upgrade.clock_shift);
+        }
         let mut endpoints = Vec::new();
         for ban in &state.bans {
             endpoints.extend(self.bans.adopt(ban));
@@ -93,8 +100,17 @@
 
     fn handle_peer_message(&mut self, now: Micros, message: HandoverMessage) {
         match message {
-            HandoverMessage::Ban(ban) => self.adopt_ban(now, &ban),
-            HandoverMessage::MayRun(recent) => self.adopt_recent_id(now, &recent),
+            HandoverMessage::Ban(mut ban) => {
+                // It is sent when the ban changes, and the other process has another clock.
+                ban.lifted_at = now;
+                self.adopt_ban(now, &ban);
+            }
+            HandoverMessage::MayRun(mut recent) => {
+                recent.ends_at = recent
+                    .ends_at
+                    .saturating_add_signed(self.upgrade.clock_shift);
+                self.adopt_recent_id(now, &recent);
+            }
             HandoverMessage::Ended(account) => {
                 let account = AccountId::from(&*account);
                 let running = self.upgrade.predecessor_attempts.get_mut(&account);
--- a/src/handover/learned_state.rs
+++ b/src/handover/learned_state.rs
@@ -25,6 +25,7 @@
             servers: self.export_servers(),
             bans: Vec::new(),
             recent_ids: Vec::new(),
+            exported_at: 0,
             mean_latencies: self.latencies.iter().map(|class| class.mean).collect(),
             failure_rates: self
                 .latencies
--- a/src/handover/message.rs
+++ b/src/handover/message.rs
@@ -134,6 +134,42 @@
     /// Ids of requests that may have run and must not run again.
     #[prost(message, repeated, tag = "13")]
     pub recent_ids: Vec<RecentId>,
+    /// Time of the predecessor's clock when the state was sent, in microseconds of Unix time; 0 if
+    /// the predecessor does not say.
+    #[prost(uint64, tag = "14")]
+    pub exported_at: u64,
+}
+
+impl LearnedState {
+    /// Moves all times by this many microseconds. The clocks of two processes differ if the system
+    /// clock has stepped between their starts; start times of servers are those of service
+    /// discovery, and stay.
+    pub fn move_times(&mut self, shift: i64) {
+        let moved = |time: &mut u64| {
+            if *time > 0 {
+                *time = time.saturating_add_signed(shift).max(1);
+            }
+        };
+        moved(&mut self.concurrency_limit_decreased_at);
+        for account in &mut self.accounts {
+            moved(&mut account.bucket_filled_at);
+            moved(&mut account.last_counter_reply);
+            moved(&mut account.last_request);
+        }
+        for server in &mut self.servers {
+            moved(&mut server.ratio_updated_at);
+            server
+                .failures
+                .iter_mut()
+                .for_each(|failures| moved(&mut failures.at));
+        }
+        self.bans
+            .iter_mut()
+            .for_each(|ban| moved(&mut ban.lifted_at));
+        self.recent_ids
+            .iter_mut()
+            .for_each(|recent| moved(&mut recent.ends_at));
+    }
 }
 
 /// The id of a request that may have run.
--- a/tests/golden/messages.rs
+++ b/tests/golden/messages.rs
@@ -68,6 +68,7 @@
         max_counter_calls: 8.5,
         mean_priority_weight: 2.625,
         recent_ids: vec![recent_id()],
+        exported_at: 1_000_011,
     }
 }
 
--- a/tests/system_calls/main.rs
+++ b/tests/system_calls/main.rs
@@ -4,5 +4,6 @@
 #[path = "../peers/mod.rs"]
 mod peers;
 
+mod clock;
 mod interposer;
 mod requests;
--- a/tests/units/main.rs
+++ b/tests/units/main.rs
@@ -12,3 +12,4 @@
 mod log_messages;
 mod shutdown;
 mod source_text;
+mod start_times;
