Check the budget of cold servers with one and two limiters too

The rule on slow start binds however few processes run; the test had 3, 30 and 300 limiters. No change of the program.

--- a/tests/cold_ramp.rs
+++ b/tests/cold_ramp.rs
@@ -284,7 +284,7 @@
 }
 
 /// Simulated numbers of limiters.
-const FLEET_SIZES: [u32; 3] = [3, 30, 300];
+const FLEET_SIZES: [u32; 5] = [1, 2, 3, 30, 300];
 
 fn assert_within_capacity(disturbance: Disturbance) {
     for (limiters, seed) in FLEET_SIZES
