Use no connection to a server that has gone for the new process at its address

Cause: idle connections, and those of attempts that ended later, stayed with a server as long as its address was the same, also after discovery had told that it started anew. Where something between keeps them open, a request was written to the process that had gone.

Change: the pool belongs to an address and a start time; a connection goes back only to the pool that it came from.

Measured: connections_to_a_server_are_not_used_again_after_it_started_anew failed before (the request after the update came on connection 0, as before).

--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -244,7 +244,7 @@
             return Err(DispatchError::NoMemory);
         };
         let mut table = lock(&shared.table);
-        let address = table.address(server).ok_or(DispatchError::UnknownServer)?;
+        let process = table.process(server).ok_or(DispatchError::UnknownServer)?;
         let acquired = match table.take_idle(server) {
             Some(idle) => AcquiredConnection::Idle(idle),
             None => {
@@ -256,7 +256,7 @@
             }
         };
         drop(table);
-        let worker = Worker::new(server.clone(), address, shared.clone());
+        let worker = Worker::new(server.clone(), process, shared.clone());
         let work = move || {
             let _charge = charge;
             worker.run(acquired, job);
--- a/src/upstream/servers.rs
+++ b/src/upstream/servers.rs
@@ -4,7 +4,7 @@
 use super::running_attempt::RunningAttempt;
 use crate::config::EndpointUpdate;
 use crate::core::AttemptId;
-use crate::decision::{Readiness, ServerId};
+use crate::decision::{Micros, Readiness, ServerId};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,16 +25,25 @@
     last_sweep: Instant,
 }
 
+/// One process of an upstream server. A server that has moved or started anew is another one, which
+/// knows nothing of the connections to the one before.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct ServerProcess {
+    pub(super) address: SocketAddr,
+    /// Start time as service discovery lists it, in microseconds.
+    started_at: Micros,
+}
+
 struct Server {
-    address: SocketAddr,
+    process: ServerProcess,
     /// Idle connections, in the order in which they became idle.
     idle: Vec<IdleConnection>,
 }
 
 impl Server {
-    fn new(address: SocketAddr) -> Self {
+    fn new(process: ServerProcess) -> Self {
         Self {
-            address,
+            process,
             idle: Vec::new(),
         }
     }
@@ -72,19 +81,23 @@
                 self.servers.remove(&endpoint.id);
                 continue;
             }
+            let process = ServerProcess {
+                address: *address,
+                started_at: endpoint.started_at,
+            };
             let server = self
                 .servers
                 .entry(endpoint.id.clone())
-                .or_insert_with(|| Server::new(*address));
-            if server.address != *address {
-                *server = Server::new(*address);
+                .or_insert_with(|| Server::new(process));
+            if server.process != process {
+                *server = Server::new(process);
             }
         }
     }
 
-    /// Returns the address of a server; none if the server is unknown.
-    pub(super) fn address(&self, id: &ServerId) -> Option<SocketAddr> {
-        self.servers.get(id).map(|server| server.address)
+    /// Returns the process of a server; none if the server is unknown.
+    pub(super) fn process(&self, id: &ServerId) -> Option<ServerProcess> {
+        self.servers.get(id).map(|server| server.process)
     }
 
     /// Takes an idle connection to a server. Prefers, of those that can be reused at once, the most
@@ -117,20 +130,20 @@
         true
     }
 
-    /// Adds a connection to the idle ones of its server, unless the server is no longer known at
-    /// this address or has [`MAX_IDLE_PER_SERVER`] already. A connection that is not added is
+    /// Adds a connection to the idle ones of its server, unless the server is another process by now
+    /// or has [`MAX_IDLE_PER_SERVER`] already. A connection that is not added is
     /// closed.
     pub(super) fn add_idle(
         &mut self,
         id: &ServerId,
-        address: SocketAddr,
+        process: ServerProcess,
         connection: Arc<Connection>,
     ) {
         self.sweep();
         let Some(server) = self.servers.get_mut(id) else {
             return;
         };
-        if server.address == address && server.idle.len() < MAX_IDLE_PER_SERVER {
+        if server.process == process && server.idle.len() < MAX_IDLE_PER_SERVER {
             server.idle.push(IdleConnection::new(connection));
         }
     }
--- a/src/upstream/worker.rs
+++ b/src/upstream/worker.rs
@@ -5,12 +5,12 @@
 use super::pool::Shared;
 use super::protocol::{ClientPresence, Exchange, UpstreamProtocol};
 use super::running_attempt::RunningAttempt;
-use super::servers::ServerTable;
+use super::servers::{ServerProcess, ServerTable};
 use crate::core::{AttemptDeadlines, AttemptId};
 use crate::decision::{Outcome, ServerId};
 use crate::threads::lock;
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -40,7 +40,7 @@
 /// Runs one job.
 pub(super) struct Worker<S: UpstreamProtocol> {
     server: ServerId,
-    address: SocketAddr,
+    process: ServerProcess,
     /// The connection in use. Counted as open until the end of the job was reported.
     connection: Option<Arc<Connection>>,
     shared: Arc<Shared<S>>,
@@ -48,10 +48,10 @@
 
 impl<S: UpstreamProtocol> Worker<S> {
     /// Returns a worker for a job at this server.
-    pub(super) fn new(server: ServerId, address: SocketAddr, shared: Arc<Shared<S>>) -> Self {
+    pub(super) fn new(server: ServerId, process: ServerProcess, shared: Arc<Shared<S>>) -> Self {
         Self {
             server,
-            address,
+            process,
             connection: None,
             shared,
         }
@@ -97,7 +97,7 @@
     /// Adds the connection to the idle ones if it can be reused.
     fn release_connection(&self, table: &mut ServerTable, reusable: bool) {
         if let Some(connection) = self.connection.clone().filter(|_| reusable) {
-            table.add_idle(&self.server, self.address, connection);
+            table.add_idle(&self.server, self.process, connection);
         }
     }
 
@@ -190,8 +190,10 @@
     }
 
     fn open(&self, slot: ConnectionSlot) -> io::Result<Arc<Connection>> {
-        let stream =
-            TcpStream::connect_timeout(&self.address, self.shared.settings.connect_timeout)?;
+        let stream = TcpStream::connect_timeout(
+            &self.process.address,
+            self.shared.settings.connect_timeout,
+        )?;
         stream.set_nodelay(true)?;
         Ok(Arc::new(Connection {
             stream,
--- a/tests/races/main.rs
+++ b/tests/races/main.rs
@@ -13,6 +13,7 @@
 mod counter;
 mod discovery;
 mod repeated_ids;
+mod restarted_server;
 mod shutdown;
 mod support;
 mod upstream;
