Do not repeat a keyed request where its server has joined another group

One that had started anew in another group made that group seem to know the key, and the request could run in both.

Change: a server notes when its zone or cell changed; keys that it saw before are known to no group then.

Measured: keyed_request_is_not_repeated_in_the_zone_that_its_server_moved_to failed before (the repeat went to the other zone). Traces of the engine are unchanged (tests/golden).

--- a/src/decision/sending.rs
+++ b/src/decision/sending.rs
@@ -134,7 +134,7 @@
         let repeat_before = |sent_at: Micros, earlier: &ServerId| match class.idempotency {
             Idempotency::Idempotent => Micros::MAX,
             Idempotency::NonIdempotent => 0,
-            Idempotency::Keyed(scope) if self.shares_keys(scope, earlier, server) => {
+            Idempotency::Keyed(scope) if self.shares_keys(scope, sent_at, earlier, server) => {
                 sent_at + class.idempotency_window
                     - class.idempotency_window / WINDOW_MARGIN_DIVISOR
             }
@@ -150,11 +150,21 @@
             .unwrap_or(Micros::MAX)
     }
 
-    /// Whether a server shares the idempotency keys that an earlier one has seen.
-    fn shares_keys(&self, scope: KeyScope, earlier: &ServerId, server: &Server) -> bool {
+    /// Whether a server shares the idempotency keys that an earlier one has seen at `sent_at`. None
+    /// is known to if that one has joined another group since.
+    fn shares_keys(
+        &self,
+        scope: KeyScope,
+        sent_at: Micros,
+        earlier: &ServerId,
+        server: &Server,
+    ) -> bool {
         let Some(earlier) = self.servers.servers.get(earlier) else {
             return false;
         };
+        if scope != KeyScope::AllServers && earlier.joined_group_at > sent_at {
+            return false;
+        }
         match scope {
             KeyScope::AllServers => true,
             KeyScope::Zone => earlier.zone == server.zone,
--- a/src/decision/server.rs
+++ b/src/decision/server.rs
@@ -25,6 +25,8 @@
 pub(crate) struct Server {
     pub(super) zone: String,
     pub(super) cell: u64,
+    /// When its zone or cell last changed; 0 if they never did.
+    pub(super) joined_group_at: Micros,
     pub(super) readiness: Option<Readiness>,
     /// When the server last ceased to be ready; only relevant while it is not ready.
     left_at: Micros,
@@ -143,6 +145,10 @@
             server.health.reset();
             server.slow_start = SlowStart::new(now, first_tokens());
         }
+        let has_moved = server.zone != endpoint.zone || server.cell != endpoint.cell;
+        if has_moved && !is_new {
+            server.joined_group_at = now;
+        }
         server.mark_left(now);
         server.readiness = Some(endpoint.readiness);
         server.started_at = endpoint.started_at;
--- a/tests/decision/main.rs
+++ b/tests/decision/main.rs
@@ -10,6 +10,7 @@
 mod concurrency_limit;
 mod counter_sync;
 mod fair_queue;
+mod key_groups;
 mod load_balancing;
 mod parts;
 mod rejection;
