--- /dev/null
+++ b/lab/src/soak/bad_clients.rs
@@ -0,0 +1,108 @@
+//! The bad clients of a soak, which hold memory or time of the limiters.
+
+use super::clients::{is_timeout, request, Crowd, CONNECT_TIMEOUT, RETRY_PAUSE};
+use super::peers::LONG_PREFIX;
+use super::plan::BadConduct;
+use super::record::Class;
+use crate::stand_in::spawn;
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Interval at which a bad client acts.
+const BAD_STEP: Duration = Duration::from_millis(100);
+/// Length of the body of a bad client's request, and how much of it is sent, in bytes.
+const BAD_BODY_BYTES: usize = 64 * 1024;
+const BAD_SENT_BYTES: usize = 60_000;
+
+/// Starts bad clients that act until the crowd stops or `time` is over.
+pub fn start_bad_clients(crowd: &Crowd, conduct: BadConduct, count: usize, time: Duration) {
+    let until = Instant::now() + time;
+    for number in 0..count {
+        let crowd = crowd.clone();
+        // With fewer threads there are fewer bad clients.
+        _ = spawn(move || {
+            let mut turn = 0;
+            while !crowd.is_stopped() && Instant::now() < until {
+                turn += 1;
+                let address = crowd.limiters[(number + turn) % crowd.limiters.len()];
+                let bad = BadClient {
+                    crowd: &crowd,
+                    until,
+                    name: format!("bad{number}-{turn}-{conduct:?}"),
+                };
+                // The limiter may close on a bad client at any time.
+                _ = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT)
+                    .and_then(|stream| bad.act(&stream, conduct));
+                thread::sleep(RETRY_PAUSE);
+            }
+        });
+    }
+}
+
+struct BadClient<'a> {
+    crowd: &'a Crowd,
+    until: Instant,
+    name: String,
+}
+
+impl BadClient<'_> {
+    fn is_over(&self) -> bool {
+        self.crowd.is_stopped() || Instant::now() >= self.until
+    }
+
+    fn act(&self, mut stream: &TcpStream, conduct: BadConduct) -> io::Result<()> {
+        stream.set_read_timeout(Some(BAD_STEP))?;
+        let deadline_ms = self.crowd.max_deadline_ms;
+        let body = vec![b'x'; BAD_BODY_BYTES];
+        let large = || request(&self.name, Class::Pay, deadline_ms, 900, &body);
+        match conduct {
+            BadConduct::Idle => {}
+            BadConduct::StopInRequest => stream.write_all(&large()[..BAD_SENT_BYTES])?,
+            BadConduct::WriteSlowly => {
+                for piece in large().chunks(BAD_SENT_BYTES / 15) {
+                    if self.is_over() {
+                        break;
+                    }
+                    stream.write_all(piece)?;
+                    thread::sleep(BAD_STEP);
+                }
+            }
+            BadConduct::ReadSlowly => {
+                let id = format!("{LONG_PREFIX}{}", self.name);
+                for copy in 0..3 {
+                    let id = format!("{id}-{copy}");
+                    stream.write_all(&request(&id, Class::Look, deadline_ms, 901, b""))?;
+                }
+            }
+            BadConduct::SendNoise => {
+                for _ in 0..2_000 {
+                    stream.write_all(b"*1\r\n$4\r\nPING\r\n*2\r\n$1\r\na\r\n$1\r\nb\r\n")?;
+                }
+                stream.write_all(b"*4000\r\n$1\r\na\r\n")?;
+            }
+            BadConduct::ManyAtOnce => {
+                for copy in 0..300 {
+                    let id = format!("{}-{copy}", self.name);
+                    stream.write_all(&request(&id, Class::Look, deadline_ms, 902 + copy, b""))?;
+                }
+            }
+        }
+        self.read_slowly(stream)
+    }
+
+    /// Reads a little in each step until the connection ends or the trouble is over.
+    fn read_slowly(&self, mut stream: &TcpStream) -> io::Result<()> {
+        let mut bytes = [0; 2_000];
+        while !self.is_over() {
+            match stream.read(&mut bytes) {
+                Ok(0) => break,
+                Ok(_) => thread::sleep(BAD_STEP / 4),
+                Err(error) if is_timeout(&error) => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+}
--- a/lab/src/soak/checker.rs
+++ b/lab/src/soak/checker/mod.rs
@@ -1,7 +1,10 @@
 //! Checks the records of a soak against the rules of the protocol page. It shares no code with the
 //! limiter.
 
+mod index;
+
 use super::record::{Class, Event, Micros, Record, Reply, Signalled};
+use index::{Arrival, Index, Sent};
 use std::collections::{HashMap, HashSet};
 use std::fmt;
 
@@ -74,39 +77,6 @@
     }
 }
 
-/// A request as one client sent it on one connection.
-struct Sent<'a> {
-    at: Micros,
-    connection: u64,
-    id: &'a str,
-    class: Class,
-    deadline: Micros,
-    limiter: usize,
-}
-
-/// An attempt at a server.
-struct Arrival<'a> {
-    begun_at: Micros,
-    at: Micros,
-    server: &'a str,
-    group: u32,
-    told: Micros,
-}
-
-/// The records of one run, by request.
-struct Index<'a> {
-    sent: Vec<Sent<'a>>,
-    arrivals: HashMap<&'a str, Vec<Arrival<'a>>>,
-    turned_away: HashMap<(&'a str, &'a str), Vec<Micros>>,
-    /// What ended a request on a connection.
-    ends: HashMap<(u64, &'a str), (Micros, &'a Event)>,
-    signals: Vec<(Micros, usize, u32, Signalled)>,
-    /// Connections on which a value was cut off.
-    cut_off: HashSet<u64>,
-    /// When a limiter started without the state of a process before.
-    new_starts: Vec<(Micros, usize)>,
-}
-
 /// Returns the rules that the records break, in the order of time.
 pub fn check(records: &[Record], rules: &Rules) -> Vec<Break> {
     let index = Index::new(records);
@@ -123,75 +93,7 @@
     breaks
 }
 
-impl<'a> Index<'a> {
-    fn new(records: &'a [Record]) -> Self {
-        let mut index = Self {
-            sent: Vec::new(),
-            arrivals: HashMap::new(),
-            turned_away: HashMap::new(),
-            ends: HashMap::new(),
-            signals: Vec::new(),
-            cut_off: HashSet::new(),
-            new_starts: Vec::new(),
-        };
-        for record in records {
-            index.add(record);
-            index.cut_off.extend(cut_off_connection(&record.event));
-        }
-        index
-    }
-
-    fn add(&mut self, Record { at, event }: &'a Record) {
-        match event {
-            Event::Sent {
-                connection,
-                id,
-                class,
-                deadline_ms,
-                limiter,
-            } => self.sent.push(Sent {
-                at: *at,
-                connection: *connection,
-                id,
-                class: *class,
-                deadline: deadline_ms * MILLISECOND,
-                limiter: *limiter,
-            }),
-            Event::Replied { connection, id, .. }
-            | Event::Unanswered { connection, id }
-            | Event::Left { connection, id } => {
-                self.ends.entry((*connection, id)).or_insert((*at, event));
-            }
-            Event::Arrived {
-                server,
-                group,
-                id,
-                begun_at,
-                told_ms,
-            } => self.arrivals.entry(id).or_default().push(Arrival {
-                begun_at: *begun_at,
-                at: *at,
-                server,
-                group: *group,
-                told: told_ms * MILLISECOND,
-            }),
-            Event::TurnedAway { server, id } => {
-                self.turned_away.entry((server, id)).or_default().push(*at);
-            }
-            Event::Signal {
-                limiter,
-                process,
-                signal,
-            } => self.signals.push((*at, *limiter, *process, *signal)),
-            Event::StartedAnew { limiter } => self.new_starts.push((*at, *limiter)),
-            _ => {}
-        }
-    }
-
-    fn arrivals_of(&self, id: &str) -> &[Arrival<'a>] {
-        self.arrivals.get(id).map_or(&[], Vec::as_slice)
-    }
-
+impl Index<'_> {
     /// One final answer in time, with the right value.
     fn check_answer(&self, sent: &Sent<'_>, rules: &Rules) -> Option<Break> {
         let broken = |at, rule, text: String| {
@@ -411,18 +313,6 @@
     }
 }
 
-/// Returns the connection on which an event cuts a value off.
-fn cut_off_connection(event: &Event) -> Option<u64> {
-    match event {
-        Event::Replied {
-            connection,
-            reply: Reply::CutOff,
-            ..
-        } => Some(*connection),
-        _ => None,
-    }
-}
-
 /// Nothing is sent to a server that drains.
 fn check_drains(records: &[Record], rules: &Rules) -> Vec<Break> {
     let mut drains: HashMap<&str, Micros> = HashMap::new();
--- a/lab/src/soak/clients.rs
+++ b/lab/src/soak/clients.rs
@@ -1,24 +1,22 @@
-//! The clients of a soak: usual ones, whose requests are recorded, and bad ones.
+//! The usual clients of a soak, whose requests are recorded.
 
 use super::peers::{value_of, LONG_PREFIX};
-use super::plan::BadConduct;
 use super::record::{Class, Event, Recorder, Reply};
 use super::wire;
-use crate::stand_in::spawn;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::VecDeque;
-use std::io::{self, BufReader, ErrorKind, Read, Write};
+use std::io::{self, BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Time for which a client waits for a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause of a client whose connection was refused.
-const RETRY_PAUSE: Duration = Duration::from_millis(15);
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(15);
 /// How much longer than its deadline a client looks for an answer, to see how late it is.
 const LATE_ANSWER_WAIT: Duration = Duration::from_millis(1_500);
 /// Longest pause of a client between two requests, in milliseconds.
@@ -32,11 +30,6 @@
 /// Pause of a client that writes slowly between two pieces, and the number of pieces.
 const PIECE_PAUSE: Duration = Duration::from_millis(30);
 const PIECES: usize = 4;
-/// Interval at which a bad client acts.
-const BAD_STEP: Duration = Duration::from_millis(100);
-/// Length of the body of a bad client's request, and how much of it is sent, in bytes.
-const BAD_BODY_BYTES: usize = 64 * 1024;
-const BAD_SENT_BYTES: usize = 60_000;
 
 /// What all clients share.
 #[derive(Clone)]
@@ -54,7 +47,7 @@
 }
 
 impl Crowd {
-    fn is_stopped(&self) -> bool {
+    pub(super) fn is_stopped(&self) -> bool {
         self.stop.load(SeqCst)
     }
 }
@@ -259,7 +252,7 @@
     }
 }
 
-fn is_timeout(error: &io::Error) -> bool {
+pub(super) fn is_timeout(error: &io::Error) -> bool {
     matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut)
 }
 
@@ -301,7 +294,13 @@
 }
 
 /// Returns the command of a request.
-fn request(id: &str, class: Class, deadline_ms: u64, account: usize, body: &[u8]) -> Vec<u8> {
+pub(super) fn request(
+    id: &str,
+    class: Class,
+    deadline_ms: u64,
+    account: usize,
+    body: &[u8],
+) -> Vec<u8> {
     let name: &[u8] = match class {
         Class::Look => b"SVC.QUERY",
         Class::Hold | Class::Pay => b"SVC.SUBMIT",
@@ -317,94 +316,3 @@
     }
     wire::command(&words)
 }
-
-/// Starts bad clients that act until the crowd stops or `time` is over.
-pub fn start_bad_clients(crowd: &Crowd, conduct: BadConduct, count: usize, time: Duration) {
-    let until = Instant::now() + time;
-    for number in 0..count {
-        let crowd = crowd.clone();
-        // With fewer threads there are fewer bad clients.
-        _ = spawn(move || {
-            let mut turn = 0;
-            while !crowd.is_stopped() && Instant::now() < until {
-                turn += 1;
-                let address = crowd.limiters[(number + turn) % crowd.limiters.len()];
-                let bad = BadClient {
-                    crowd: &crowd,
-                    until,
-                    name: format!("bad{number}-{turn}-{conduct:?}"),
-                };
-                // The limiter may close on a bad client at any time.
-                _ = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT)
-                    .and_then(|stream| bad.act(&stream, conduct));
-                thread::sleep(RETRY_PAUSE);
-            }
-        });
-    }
-}
-
-struct BadClient<'a> {
-    crowd: &'a Crowd,
-    until: Instant,
-    name: String,
-}
-
-impl BadClient<'_> {
-    fn is_over(&self) -> bool {
-        self.crowd.is_stopped() || Instant::now() >= self.until
-    }
-
-    fn act(&self, mut stream: &TcpStream, conduct: BadConduct) -> io::Result<()> {
-        stream.set_read_timeout(Some(BAD_STEP))?;
-        let deadline_ms = self.crowd.max_deadline_ms;
-        let body = vec![b'x'; BAD_BODY_BYTES];
-        let large = || request(&self.name, Class::Pay, deadline_ms, 900, &body);
-        match conduct {
-            BadConduct::Idle => {}
-            BadConduct::StopInRequest => stream.write_all(&large()[..BAD_SENT_BYTES])?,
-            BadConduct::WriteSlowly => {
-                for piece in large().chunks(BAD_SENT_BYTES / 15) {
-                    if self.is_over() {
-                        break;
-                    }
-                    stream.write_all(piece)?;
-                    thread::sleep(BAD_STEP);
-                }
-            }
-            BadConduct::ReadSlowly => {
-                let id = format!("{LONG_PREFIX}{}", self.name);
-                for copy in 0..3 {
-                    let id = format!("{id}-{copy}");
-                    stream.write_all(&request(&id, Class::Look, deadline_ms, 901, b""))?;
-                }
-            }
-            BadConduct::SendNoise => {
-                for _ in 0..2_000 {
-                    stream.write_all(b"*1\r\n$4\r\nPING\r\n*2\r\n$1\r\na\r\n$1\r\nb\r\n")?;
-                }
-                stream.write_all(b"*4000\r\n$1\r\na\r\n")?;
-            }
-            BadConduct::ManyAtOnce => {
-                for copy in 0..300 {
-                    let id = format!("{}-{copy}", self.name);
-                    stream.write_all(&request(&id, Class::Look, deadline_ms, 902 + copy, b""))?;
-                }
-            }
-        }
-        self.read_slowly(stream)
-    }
-
-    /// Reads a little in each step until the connection ends or the trouble is over.
-    fn read_slowly(&self, mut stream: &TcpStream) -> io::Result<()> {
-        let mut bytes = [0; 2_000];
-        while !self.is_over() {
-            match stream.read(&mut bytes) {
-                Ok(0) => break,
-                Ok(_) => thread::sleep(BAD_STEP / 4),
-                Err(error) if is_timeout(&error) => {}
-                Err(error) => return Err(error),
-            }
-        }
-        Ok(())
-    }
-}
