--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -51,7 +51,7 @@
 class Limiter:
     """One limiter process."""
 
-    def __init__(self, rig, name, config, tmp, argument=None):
+    def __init__(self, rig, name, config, tmp, argument=None, one_core=False):
         self.rig, self.name = rig, name
         self.path = os.path.join(rig.folder, name + ".json")
         self.write(config)
@@ -63,9 +63,12 @@
             environment["EDGE_CONFIG"] = self.path
         else:
             command += " " + argument
+        # On the platform the processes of a limiter run on one core.
+        core = {min(os.sched_getaffinity(0))}
+        pin = (lambda: os.sched_setaffinity(0, core)) if one_core else None
         with open(self.log_path, "wb") as log:
             self.process = subprocess.Popen(
-                ["/bin/sh", "-c", command], cwd=ROOT, env=environment,
+                ["/bin/sh", "-c", command], cwd=ROOT, env=environment, preexec_fn=pin,
                 stdin=subprocess.DEVNULL, stdout=log, stderr=log)
         rig.limiters.append(self)
         rig.record("start", name, "pid", self.process.pid)
